--- a/src/main/java/mapleroute/Contract.java
+++ b/core/src/main/java/lemonrail/core/Contract.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package lemonrail.core;
 
 import java.util.List;
 
--- a/src/main/java/mapleroute/SettingsReader.java
+++ b/core/src/main/java/lemonrail/core/SettingsReader.java
@@ -1,19 +1,15 @@
-package mapleroute;
+package lemonrail.core;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import java.io.IOException;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.Tenant;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.Limits;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.Tenant;
 
 /** Turns the wire's settings object into {@link Settings}; what it does not know it passes over. */
 public final class SettingsReader {
@@ -21,33 +17,10 @@
     private SettingsReader() {
     }
 
-    /** Reads any JSON value: objects as maps, arrays as lists. */
-    public static Object value(JsonParser in) throws IOException {
-        JsonToken token = in.currentToken();
-        if (token == JsonToken.START_OBJECT) {
-            Map<String, Object> map = new LinkedHashMap<>();
-            while (in.nextToken() != JsonToken.END_OBJECT) {
-                String name = in.currentName();
-                in.nextToken();
-                map.put(name, value(in));
-            }
-            return map;
-        }
-        if (token == JsonToken.START_ARRAY) {
-            List<Object> list = new ArrayList<>();
-            while (in.nextToken() != JsonToken.END_ARRAY) {
-                list.add(value(in));
-            }
-            return list;
-        }
-        if (token.isNumeric()) {
-            return in.getDoubleValue();
-        }
-        return token == JsonToken.VALUE_NULL ? null
-                : token.isBoolean() ? (Object) in.getBooleanValue() : in.getText();
-    }
-
-    /** The settings that the decisions need, from the object as {@link #value} reads it. */
+    /**
+     * The settings that the decisions need, from the object with maps for its objects, lists for its arrays
+     * and {@link Double} for its numbers.
+     */
     public static Settings settings(Map<String, Object> p) {
         List<RequestClass> classes = new ArrayList<>();
         for (Map<String, Object> c : maps(p, "classes")) {
--- a/src/main/java/mapleroute/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -1,5 +1,5 @@
 // The decision module. The types, events and actions it deals in are declared in Contract.java.
-package mapleroute;
+package lemonrail.core.policy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,17 +9,18 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Events;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
+import lemonrail.core.Contract;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Events;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
 
 /**
  * One balancer after Boxcar: a bounded pool of ranked slots on servers; every call takes the lowest-ranked
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,12 +13,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import lemonrail.core.Contract;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.State;
+import lemonrail.core.Contract.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** The mechanism as the design page gives it, and the defence against each failure met. */
--- a/src/test/java/mapleroute/EmbeddingExampleTest.java
+++ b/core/src/test/java/lemonrail/core/policy/EmbeddingExampleTest.java
@@ -1,22 +1,22 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.Limits;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
 import org.junit.jupiter.api.Test;
 
 /** The README's example, which must compile and run. */
--- a/src/test/java/mapleroute/Fixture.java
+++ b/core/src/test/java/lemonrail/core/policy/Fixture.java
@@ -1,21 +1,21 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import java.util.ArrayList;
 import java.util.List;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.Group;
-import mapleroute.Contract.Limits;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Rules;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.Limits;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
+import lemonrail.core.Contract.Tenant;
 
 /** A balancer with a recording host and a clock set by hand. */
 final class Fixture {
--- a/src/test/java/mapleroute/PolicyFileTest.java
+++ b/core/src/test/java/lemonrail/core/policy/PolicyFileTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,17 +15,18 @@
 /** The decisions are printed for the binder taken on call: the files that hold them stay within limits. */
 class PolicyFileTest {
 
+    private static final Path ROOT = Path.of("..");
     private static final int MOST_LINES = 1200;
     private static final int MOST_CHARACTERS = 110;
 
     private static List<String> policyLines() throws IOException {
         Matcher policy = Pattern.compile("(?m)^policy = \\[(.*)]$")
-            .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+            .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
         assertTrue(policy.find(), "deploy/balancer.toml names its policy files");
         List<String> lines = new ArrayList<>();
         Matcher file = Pattern.compile("\"([^\"]+)\"").matcher(policy.group(1));
         while (file.find()) {
-            lines.addAll(Files.readAllLines(Path.of(file.group(1))));
+            lines.addAll(Files.readAllLines(ROOT.resolve(file.group(1))));
         }
         return lines;
     }
--- a/src/test/java/mapleroute/RandomEventsTest.java
+++ b/core/src/test/java/lemonrail/core/policy/RandomEventsTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,18 +9,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Contract.State;
-import mapleroute.Contract.Tenant;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
+import lemonrail.core.Contract.Tenant;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
--- a/src/test/java/mapleroute/Recorder.java
+++ b/core/src/test/java/lemonrail/core/policy/Recorder.java
@@ -1,10 +1,10 @@
-package mapleroute;
+package lemonrail.core.policy;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Actions;
+import lemonrail.core.Contract.Actions;
 
 /** A host that carries nothing out and remembers what it was told. */
 final class Recorder implements Actions {
--- a/src/main/java/mapleroute/management/Operations.java
+++ b/edge/src/main/java/lemonrail/admin/Operations.java
@@ -1,4 +1,4 @@
-package mapleroute.management;
+package lemonrail.admin;
 
 /** What the operators' door can have done, on the event loop; whoever owns the state carries it out. */
 public interface Operations {
--- a/src/main/java/mapleroute/management/OperatorsDoor.java
+++ b/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
@@ -1,4 +1,4 @@
-package mapleroute.management;
+package lemonrail.admin;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/mapleroute/management/Router.java
+++ b/edge/src/main/java/lemonrail/admin/Router.java
@@ -1,4 +1,4 @@
-package mapleroute.management;
+package lemonrail.admin;
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -1,13 +1,8 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.PooledByteBufAllocator;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.File;
@@ -20,24 +15,28 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import mapleroute.lifecycle.Lifecycle;
-import mapleroute.management.Operations;
-import mapleroute.management.OperatorsDoor;
-import mapleroute.metrics.Metrics;
-import mapleroute.streaming.Budget;
-import mapleroute.suspension.Suspensions;
-import mapleroute.upgrade.Presence;
+import lemonrail.admin.Operations;
+import lemonrail.admin.OperatorsDoor;
+import lemonrail.config.SidecarConfig;
+import lemonrail.discovery.DiscoveryClient;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Front;
+import lemonrail.exchange.Message;
+import lemonrail.exchange.Protocol;
+import lemonrail.exchange.Shard;
+import lemonrail.exchange.Upstream;
+import lemonrail.lifecycle.Lifecycle;
+import lemonrail.logging.Complaints;
+import lemonrail.metrics.Metrics;
+import lemonrail.net.Sockets;
+import lemonrail.streaming.Budget;
+import lemonrail.suspension.Suspensions;
+import lemonrail.time.Clock;
+import lemonrail.upgrade.Presence;
 
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
 public final class Sidecar {
 
-    /** One small arena: messages are of a few hundred bytes, and memory is tight. */
-    static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
-    /** Bytes that wait on one connection to be written, at which no more is given to it and again is. */
-    static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(8 * 1024, 32 * 1024);
-    private static final int LEAST_READ_BYTES = 512;
-    private static final int FIRST_READ_BYTES = 2048;
-    private static final int MOST_READ_BYTES = 16 * 1024;
     /** The part of the memory that bodies on their way may take, and what suits the heap at most. */
     private static final int BODIES_SHARE = 16;
     private static final int MOST_BODIES_MB = 8;
@@ -64,21 +63,25 @@
     private final SidecarConfig config;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
-    private final Lifecycle lifecycle = new Lifecycle();
+    private final Protocol<?, ?> protocol;
+    private final Lifecycle lifecycle = new Lifecycle(() -> knowsEndpoints());
+    private Shard shard;
     private final Metrics metrics;
     private Complaints complaints;
     private Suspensions suspensions;
     private Presence presence;
     private OperatorsDoor door;
-    private Frontend frontend;
+    private Front frontend;
     private DiscoveryClient discovery;
-    private EndpointPool endpoints;
+    private Upstream<?, ?> endpoints;
     private InetSocketAddress address;
     private int ownFiles;
     private boolean sharesLimits;
-    private Exchange exchange;
+    private Exchange<?, ?> exchange;
 
-    private Sidecar(Path file, Map<String, String> environment, PrintStream log) throws IOException {
+    private Sidecar(Protocol<?, ?> protocol, Path file, Map<String, String> environment, PrintStream log)
+            throws IOException {
+        this.protocol = protocol;
         this.file = file;
         this.environment = environment;
         this.log = log;
@@ -90,9 +93,9 @@
     }
 
     /** Reads the configuration and builds the parts; what goes wrong is an exception that says so plainly. */
-    public static Sidecar create(Path file, Map<String, String> environment, PrintStream log)
-            throws IOException {
-        Sidecar sidecar = new Sidecar(file, environment, log);
+    public static Sidecar create(Protocol<?, ?> protocol, Path file, Map<String, String> environment,
+            PrintStream log) throws IOException {
+        Sidecar sidecar = new Sidecar(protocol, file, environment, log);
         sidecar.loop.submit(sidecar::build).syncUninterruptibly();
         return sidecar;
     }
@@ -112,13 +115,14 @@
                 listen();
             }
             CountDownLatch warm = new CountDownLatch(1);
-            loop.execute(() -> new Warmup(loop, config, warm::countDown).start());
+            loop.execute(() -> protocol.warmUp(shard,
+                config.listen().getAddress(), config.kept("warm-up"), warm::countDown));
             warm.await();
             if (address == null) {
                 listen();
             }
             loop.submit(lifecycle::started).sync();
-            log.println("mapleroute: serving at " + address + ", warm after "
+            log.println("lemonrail: serving at " + address + ", warm after "
                 + (System.nanoTime() - began) / 1_000_000 + " ms");
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
@@ -150,32 +154,37 @@
         int half = half();
         double bodiesMb = Math.min(MOST_BODIES_MB, config.memoryMb() / BODIES_SHARE);
         Budget budget = new Budget((long) (bodiesMb * 1024 * 1024));
-        endpoints = new EndpointPool(loop, clock, complaints, metrics, budget,
-            config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
+        shard = new Shard(loop, clock, complaints, metrics, budget, lifecycle, config.settings(),
+            config.idleCloseMs());
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
-        exchange = new Exchange(loop, clock, complaints, endpoints, budget, discovery::watch, suspensions,
-            config);
+        connect(protocol, half);
         discovery.listen(exchange, config.known().version());
-        frontend = new Frontend(loop, clock, complaints, exchange, lifecycle, metrics, budget,
-            config.settings(), clients(half));
-        door = new OperatorsDoor(loop, BUFFERS, new Controls(), complaints::bug);
+        door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), complaints::bug);
         metrics.gauge("targets", suspensions::listed);
         metrics.gauge("targets_disabled", () -> suspensions.listedSuspended() + exchange.avoided());
         loop.scheduleWithFixedDelay(this::lookRound, LOOK_ROUND_MS, LOOK_ROUND_MS, TimeUnit.MILLISECONDS);
     }
 
+    private <M extends Message, A> void connect(Protocol<M, A> spoken, int half) {
+        Upstream<M, A> upstream = spoken.upstream(shard, half);
+        Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, config.seed(), config.known(),
+            discovery::watch);
+        endpoints = upstream;
+        exchange = between;
+        frontend = spoken.front(shard, between, clients(half));
+    }
+
+    private boolean knowsEndpoints() {
+        return exchange != null && exchange.knowsEndpoints();
+    }
+
     /** Connections for clients, and as many to endpoints; two processes share what one may hold. */
     private int half() {
         return Math.max(LEAST_CONNECTIONS, (config.sockets() / (sharesLimits ? 2 : 1) - ownFiles) / 2);
     }
 
-    private static int clients(int half) {
-        return Math.max(LEAST_CONNECTIONS, half - Frontend.OVERFLOW);
-    }
-
-    /** How much is read at a time: a connection must not bring in more than is held of a body. */
-    static RecvByteBufAllocator readSizes() {
-        return new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MOST_READ_BYTES);
+    private int clients(int half) {
+        return Math.max(LEAST_CONNECTIONS, half - protocol.overflow());
     }
 
     private static int openFiles() {
@@ -212,11 +221,11 @@
         loop.execute(() -> {
             try {
                 InetSocketAddress named = SidecarConfig.read(file, environment).discovery();
-                log.println("mapleroute: configuration read again: discovery is at " + named);
+                log.println("lemonrail: configuration read again: discovery is at " + named);
                 discovery.move(named);
                 metrics.reloaded(true);
             } catch (IOException | RuntimeException e) {
-                log.println("mapleroute: the configuration stays as it was: " + e.getMessage());
+                log.println("lemonrail: the configuration stays as it was: " + e.getMessage());
                 metrics.reloaded(false);
             }
         });
@@ -239,7 +248,7 @@
             lifecycle.stop();
             frontend.endAfter(endMs);
             boolean succeeded = presence.hasOther();
-            log.println("mapleroute: stopping" + (succeeded ? ", another process goes on" : ""));
+            log.println("lemonrail: stopping" + (succeeded ? ", another process goes on" : ""));
             if (succeeded) {
                 frontend.leave();
             }
@@ -257,8 +266,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.println(empty.getCount() == 0 ? "mapleroute: all connections are done with"
-            : "mapleroute: not all connections were empty in time");
+        log.println(empty.getCount() == 0 ? "lemonrail: all connections are done with"
+            : "lemonrail: not all connections were empty in time");
         stop();
     }
 
@@ -296,12 +305,12 @@
 
         @Override
         public boolean ready() {
-            return frontend.isReady();
+            return lifecycle.isReady();
         }
 
         @Override
         public String phase() {
-            return frontend.phase();
+            return lifecycle.word();
         }
 
         @Override
--- a/src/main/java/mapleroute/benchlink/BenchLink.java
+++ b/edge/src/main/java/lemonrail/benchlink/BenchLink.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package lemonrail.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -15,16 +15,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mapleroute.Decide;
-import mapleroute.SettingsReader;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import lemonrail.core.SettingsReader;
+import lemonrail.core.policy.Decide;
+import lemonrail.json.Json;
 
 /**
  * Speaks the simulator's wire: reads batches of events, hands each to the balancer of its instance, and
@@ -325,7 +326,7 @@
                 case "entries" -> e.entries = readEntries();
                 case "params" -> {
                     expect(in.currentToken(), JsonToken.START_OBJECT, "params");
-                    e.params = (Map<String, Object>) SettingsReader.value(in);
+                    e.params = (Map<String, Object>) Json.value(in);
                 }
                 default -> in.skipChildren();
             }
@@ -409,7 +410,7 @@
             case "PingResult", "NeighbourSays" -> running();
             default -> {
                 if (unknownKinds.add(e.kind)) {
-                    complaints.println("mapleroute: batch " + batch + ", instance " + current
+                    complaints.println("lemonrail: batch " + batch + ", instance " + current
                         + ": events of kind '" + e.kind + "' are unknown and skipped");
                 }
             }
--- a/src/main/java/mapleroute/benchlink/WireException.java
+++ b/edge/src/main/java/lemonrail/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package lemonrail.benchlink;
 
 /** Input that the adapter cannot act on; the message names the batch and, where known, the instance. */
 public final class WireException extends RuntimeException {
--- a/src/main/java/mapleroute/Main.java
+++ b/edge/src/main/java/lemonrail/cli/Main.java
@@ -1,5 +1,7 @@
-package mapleroute;
+package lemonrail.cli;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.FileDescriptor;
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
@@ -9,9 +11,10 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import mapleroute.benchlink.BenchLink;
-import mapleroute.benchlink.WireException;
-import mapleroute.sidecar.Sidecar;
+import lemonrail.assembly.Sidecar;
+import lemonrail.benchlink.BenchLink;
+import lemonrail.benchlink.WireException;
+import lemonrail.http1.Http1;
 import sun.misc.Signal;
 
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
@@ -40,20 +43,22 @@
     public static int run(String[] args, InputStream in, OutputStream out, PrintStream errors)
             throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            errors.println("usage: java -jar mapleroute.jar serve|benchlink");
+            errors.println("usage: java -jar lemonrail.jar serve|benchlink");
             return 2;
         }
         try {
             new BenchLink(in, out, errors).run();
             return 0;
         } catch (WireException e) {
-            errors.println("mapleroute: " + e.getMessage());
+            errors.println("lemonrail: " + e.getMessage());
             return 1;
         }
     }
 
     /** Starts a sidecar, to run until SIGTERM; returns the exit status of a start that failed. */
     static int serve(String configFile, PrintStream errors) {
+        // Netty takes SLF4J where it finds it, and with it the time to load all of that; few need it.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         // Before all else: until there is a handler, SIGHUP ends the program.
         CompletableFuture<Sidecar> running = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), signal -> running.thenAccept(Sidecar::reload));
@@ -62,7 +67,7 @@
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
                     + configFile);
             }
-            Sidecar sidecar = Sidecar.create(Path.of(configFile), System.getenv(), errors);
+            Sidecar sidecar = Sidecar.create(new Http1(), Path.of(configFile), System.getenv(), errors);
             // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
             Thread stop = new Thread(() -> {
                 sidecar.terminate();
@@ -78,7 +83,7 @@
             running.complete(sidecar);
             return 0;
         } catch (IOException | RuntimeException e) {
-            errors.println("mapleroute: " + (e.getMessage() == null ? e.toString()
+            errors.println("lemonrail: " + (e.getMessage() == null ? e.toString()
                 : e.getMessage().lines().findFirst().orElse("")));
             return 1;
         }
--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/edge/src/main/java/lemonrail/config/SidecarConfig.java
@@ -1,7 +1,5 @@
-package mapleroute.sidecar;
+package lemonrail.config;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -11,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Settings;
-import mapleroute.SettingsReader;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.SettingsReader;
+import lemonrail.discovery.ServerList;
+import lemonrail.json.Json;
 
 /**
  * What a sidecar is told at its start, read from the file that GW_CONFIG names.
@@ -35,9 +35,8 @@
 
     /** Reads file and environment; anything missing or bad is an exception that names field and value. */
     public static SidecarConfig read(Path file, Map<String, String> environment) throws IOException {
-        try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
-            in.nextToken();
-            if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> config)) {
+        try {
+            if (!(Json.value(Files.readAllBytes(file)) instanceof Map<?, ?> config)) {
                 throw new IllegalArgumentException(file + " holds no JSON object");
             }
             return of(config, environment);
@@ -70,12 +69,12 @@
     }
 
     /** A file of this sidecar's own, which its next process finds as well. */
-    Path kept(String what) {
+    public Path kept(String what) {
         return folder.resolve(name.replaceAll("[^A-Za-z0-9._-]", "_") + "." + what);
     }
 
     /** The names of the classes, in the order of the settings. */
-    List<String> classNames() {
+    public List<String> classNames() {
         return settings.classes().stream().map(RequestClass::name).toList();
     }
 
--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.discovery;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -26,12 +26,14 @@
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import lemonrail.logging.Complaints;
+import lemonrail.net.Sockets;
 
 /**
  * Watches the list of endpoints, call after call, until a call fails. In which way to go on then is for
  * whoever listens: it calls {@link #watch} again.
  */
-final class DiscoveryClient {
+public final class DiscoveryClient {
 
     /** How long discovery is asked to wait for news. */
     private static final int WAIT_MS = 20_000;
@@ -40,7 +42,7 @@
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
     /** What comes of the watch. */
-    interface Listener {
+    public interface Listener {
         void listed(ServerList list);
 
         void failed();
@@ -58,14 +60,15 @@
     /** Set while a call is out. */
     private Future<?> silence;
 
-    DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
+    /** A client of the discovery at this address; {@link #listen} comes before {@link #watch}. */
+    public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
             Complaints complaints) {
         this.loop = loop;
         this.address = address;
         this.names = names;
         this.complaints = complaints;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SILENCE_MS)
             .handler(new ChannelInitializer<SocketChannel>() {
@@ -78,7 +81,7 @@
     }
 
     /** Who hears of lists, and which version is known already. */
-    void listen(Listener hearer, long known) {
+    public void listen(Listener hearer, long known) {
         listener = hearer;
         version = OptionalLong.of(known);
     }
@@ -87,7 +90,7 @@
      * Goes on at another address, at once and without a word of failure. Versions are counted anew there,
      * so it is asked for the whole list.
      */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -99,7 +102,7 @@
     }
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
-    void watch() {
+    public void watch() {
         if (silence != null) {
             return;
         }
--- a/src/main/java/mapleroute/sidecar/ServerList.java
+++ b/edge/src/main/java/lemonrail/discovery/ServerList.java
@@ -1,7 +1,5 @@
-package mapleroute.sidecar;
+package lemonrail.discovery;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,38 +8,36 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
-import mapleroute.SettingsReader;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import lemonrail.json.Json;
 
 /** A list of endpoints, or changes to one, in discovery's form. */
-record ServerList(long version, boolean full, List<Entry> entries) {
-
-    private static final JsonFactory JSON = new JsonFactory();
+public record ServerList(long version, boolean full, List<Entry> entries) {
 
     /** An endpoint and where it listens, as this sidecar sees it. */
-    record Entry(Server server, InetSocketAddress address) {
+    public record Entry(Server server, InetSocketAddress address) {
     }
 
     /** The names of the zones and kinds, whose places in the settings stand for them. */
-    record Names(List<String> zones, List<String> kinds) {
+    public record Names(List<String> zones, List<String> kinds) {
     }
 
-    List<Server> servers() {
+    /** The endpoints alone. */
+    public List<Server> servers() {
         return entries.stream().map(Entry::server).toList();
     }
 
-    static ServerList parse(byte[] json, Names names) throws IOException {
-        try (JsonParser in = JSON.createParser(json)) {
-            in.nextToken();
-            if (!(in.currentToken() != null && SettingsReader.value(in) instanceof Map<?, ?> list)) {
-                throw new IOException("the list of endpoints is no object");
-            }
-            return of(list, names);
+    /** A list in discovery's form; what is bad is an exception that names the field. */
+    public static ServerList parse(byte[] json, Names names) throws IOException {
+        if (!(Json.value(json) instanceof Map<?, ?> list)) {
+            throw new IOException("the list of endpoints is no object");
         }
+        return of(list, names);
     }
 
-    static ServerList of(Map<?, ?> list, Names names) {
+    /** A list from its values. */
+    public static ServerList of(Map<?, ?> list, Names names) {
         if (!(list.get("version") instanceof Double version)) {
             throw bad("version", list.get("version"));
         }
@@ -91,7 +87,7 @@
     }
 
     /** Reads {@code 10.0.0.4:9000}; names would need DNS, of which there is none. */
-    static InetSocketAddress address(String field, Object value) {
+    public static InetSocketAddress address(String field, Object value) {
         if (value instanceof String text) {
             int colon = text.lastIndexOf(':');
             byte[] ip = colon < 0 ? null
@@ -108,7 +104,8 @@
         throw bad(field, value);
     }
 
-    static IllegalArgumentException bad(String field, Object value) {
+    /** Says that this field holds no value that could be used. */
+    public static IllegalArgumentException bad(String field, Object value) {
         return new IllegalArgumentException("field " + field
             + (value == null ? " is missing" : " is not usable: " + value));
     }
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -1,8 +1,6 @@
-package mapleroute.sidecar;
+package lemonrail.exchange;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,24 +10,32 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Actions;
-import mapleroute.Contract.Finished;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Load;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.Settings;
-import mapleroute.Decide;
-import mapleroute.streaming.Budget;
-import mapleroute.streaming.Pipe;
-import mapleroute.suspension.Suspensions;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.policy.Decide;
+import lemonrail.discovery.DiscoveryClient;
+import lemonrail.discovery.ServerList;
+import lemonrail.logging.Complaints;
+import lemonrail.streaming.Budget;
+import lemonrail.streaming.Pipe;
+import lemonrail.suspension.Suspensions;
+import lemonrail.time.Clock;
 
 /**
  * The host of the decision module: the table of open requests and their attempts. It carries out what the
- * module asks for, tells it what comes of it, and sees to it that each request gets one final answer.
+ * module asks for, tells it what comes of it, and sees to it that each request gets one final answer. It
+ * knows no protocol: requests come from a front and go to an upstream, and answers the other way.
+ *
+ * @param <M> the protocol's requests
+ * @param <A> the protocol's answers
  */
-final class Exchange implements Actions, DiscoveryClient.Listener {
+public final class Exchange<M extends Message, A> implements Actions, DiscoveryClient.Listener {
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
@@ -41,50 +47,18 @@
     /** The same for a large answer of which an endpoint sends or a client takes nothing. */
     private static final int ANSWER_STALL_MS = 10_000;
 
-    /**
-     * What a client sent, beyond what the module decides by: where the body is large, the first part of it,
-     * which can be sent again, and the rest, which cannot.
-     */
-    record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body, Pipe rest) {
-
-        /** Whether the rest of a large body is still to come from the client. */
-        boolean isComing() {
-            return rest != null && !rest.hasEnded();
-        }
-
-        /** Whether it can still be sent from its first byte on. */
-        boolean isReplayable() {
-            return rest == null || !rest.isTouched() && !rest.isBroken();
-        }
-    }
-
-    /** Where the final answer to a request goes; exactly one of these is called, once. */
-    interface Client {
-        void served(AnswerReader.Answer answer);
-
-        /** A large answer has begun, and its body comes through the pipe; no other answer follows. */
-        void streaming(AnswerReader.Beginning beginning, Pipe body);
-
-        /** An endpoint has turned the request away for what it is; no other would take it. */
-        void turnedAway(int status);
-
-        void refused(double coolDownMs);
-
-        void failed();
-    }
-
     /** What happens to the module, at the time at which it is told. */
     private interface Event {
         void tell(double now);
     }
 
-    private record Queued(Open open, Event event) {
+    private record Queued<M extends Message, A>(Open<M, A> open, Event event) {
     }
 
-    private static final class Open {
+    private static final class Open<M extends Message, A> {
         final Request request;
-        final Message message;
-        final Client client;
+        final M message;
+        final Client<A> client;
         final List<Try> tries = new ArrayList<>(2);
         /** What the client waits, from when its request is whole. */
         final double waitMs;
@@ -96,7 +70,7 @@
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(double now, Request request, Message message, Client client) {
+        Open(double now, Request request, M message, Client<A> client) {
             waitMs = request.deadlineMs() - now;
             deadline = request.deadlineMs();
             this.request = request;
@@ -113,7 +87,7 @@
         double sentAt;
         /** How long it took until a large answer's first bytes; what its client then takes is no measure. */
         double firstBytesMs = -1;
-        EndpointPool.Attempt attempt;
+        Upstream.Attempt attempt;
         Future<?> timeout;
         boolean ended;
 
@@ -127,55 +101,65 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Complaints complaints;
-    private final EndpointPool endpoints;
+    private final Upstream<M, A> endpoints;
     private final Budget budget;
     /** Begins a watch on discovery. */
     private final Runnable watch;
     private final Settings settings;
     private final Decide module;
     private final Suspensions suspensions;
-    private final Map<String, Open> table = new HashMap<>();
+    private final Map<String, Open<M, A>> table = new HashMap<>();
     /** Events wait here while the module is at work: it is never called from within its own call. */
-    private final Deque<Queued> events = new ArrayDeque<>();
+    private final Deque<Queued<M, A>> events = new ArrayDeque<>();
     private boolean telling;
     private boolean listed;
 
-    Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints, Budget budget,
-            Runnable watch, Suspensions suspensions, SidecarConfig config) {
-        this.loop = loop;
-        this.clock = clock;
-        this.complaints = complaints;
+    /**
+     * An exchange before these endpoints.
+     *
+     * @param seed for random numbers
+     * @param known the list as it was last known, which may be old
+     * @param watch begins a watch on discovery
+     */
+    public Exchange(Shard shard, Upstream<M, A> endpoints, Suspensions suspensions, long seed,
+            ServerList known, Runnable watch) {
+        this.loop = shard.loop();
+        this.clock = shard.clock();
+        this.complaints = shard.complaints();
         this.endpoints = endpoints;
-        this.budget = budget;
+        this.budget = shard.budget();
         this.watch = watch;
         this.suspensions = suspensions;
-        settings = config.settings();
-        module = new Decide(settings, config.seed(), this);
-        tellList(ListKind.CACHED, config.known());
+        settings = shard.settings();
+        module = new Decide(settings, seed, this);
+        tellList(ListKind.CACHED, known);
         if (!settings.asksForList()) {
             watch.run();
         }
     }
 
     /** Whether a list has named an endpoint yet. */
-    boolean knowsEndpoints() {
+    public boolean knowsEndpoints() {
         return listed;
     }
 
-    int openRequests() {
+    /** How many requests are open. */
+    public int openRequests() {
         return table.size();
     }
 
-    boolean has(String id) {
+    /** Whether a request of this id is open. */
+    public boolean has(String id) {
         return table.containsKey(id);
     }
 
     // ---- what happens ----
 
-    void request(Request request, Message message, Client client) {
-        Open open = new Open(clock.now(), request, message, client);
+    /** A client has sent a request; it hears of the one final answer. */
+    public void request(Request request, M message, Client<A> client) {
+        Open<M, A> open = new Open<>(clock.now(), request, message, client);
         table.put(request.id(), open);
-        budget.take(message.body().length);
+        budget.take(message.heldBytes());
         if (!message.isComing()) {
             awaitOverdue(open);
         }
@@ -183,21 +167,21 @@
     }
 
     /** The rest of a large body has come: the request's time counts from here. */
-    void bodyWhole(String id) {
-        Open open = table.get(id);
+    public void bodyWhole(String id) {
+        Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             open.deadline = clock.now() + open.waitMs;
             awaitOverdue(open);
         }
     }
 
-    private void awaitOverdue(Open open) {
+    private void awaitOverdue(Open<M, A> open) {
         open.overdue = after(open.deadline - clock.now() + OVERDUE_MS, () -> overdue(open));
     }
 
     /** The client's connection has ended before its answer. */
-    void clientGone(String id) {
-        Open open = table.get(id);
+    public void clientGone(String id) {
+        Open<M, A> open = table.get(id);
         if (open != null && open.stream != null) {
             giveUp(open, open.stream, Outcome.CANCELED);
         } else if (open != null && !open.concluded) {
@@ -206,7 +190,7 @@
         }
     }
 
-    private void overdue(Open open) {
+    private void overdue(Open<M, A> open) {
         if (!open.concluded) {
             complaints.log("no decision by the deadline", open.request.id());
             abandon(open);
@@ -214,7 +198,7 @@
     }
 
     /** Fails a request without the module, and lets the module know that it owes nothing any more. */
-    private void abandon(Open open) {
+    private void abandon(Open<M, A> open) {
         conclude(open);
         open.client.failed();
         raise(open, now -> module.onClientGone(now, open.request.id()));
@@ -233,7 +217,7 @@
     }
 
     /** Operators see these endpoints otherwise now: the module hears of them as of any news. */
-    void retell(Collection<String> ids) {
+    public void retell(Collection<String> ids) {
         List<Server> shown = suspensions.shown(ids);
         if (!shown.isEmpty()) {
             raise(null, now -> module.onServers(now, ListKind.DELTA, shown));
@@ -241,7 +225,7 @@
     }
 
     /** How many endpoints the module leaves out by its own choice. */
-    int avoided() {
+    public int avoided() {
         return module.avoided(clock.now());
     }
 
@@ -254,14 +238,14 @@
         }
     }
 
-    private void raise(Open open, Event event) {
-        events.add(new Queued(open, event));
+    private void raise(Open<M, A> open, Event event) {
+        events.add(new Queued<>(open, event));
         if (telling) {
             return;
         }
         telling = true;
         try {
-            for (Queued next = events.poll(); next != null; next = events.poll()) {
+            for (Queued<M, A> next = events.poll(); next != null; next = events.poll()) {
                 tell(next.open(), next.event());
             }
         } finally {
@@ -269,7 +253,7 @@
         }
     }
 
-    private void tell(Open open, Event event) {
+    private void tell(Open<M, A> open, Event event) {
         try {
             event.tell(clock.now());
         } catch (RuntimeException e) {
@@ -280,7 +264,7 @@
         }
         if (open != null && open.concluded && open.out == 0) {
             if (table.remove(open.request.id(), open)) {
-                budget.release(open.message.body().length);
+                budget.release(open.message.heldBytes());
             }
         }
     }
@@ -289,7 +273,7 @@
 
     @Override
     public void send(String id, String server, double timeoutMs) {
-        Open open = table.get(id);
+        Open<M, A> open = table.get(id);
         if (open == null) {
             complaints.log("an attempt for a request that is not open", id);
             return;
@@ -311,7 +295,7 @@
                 made.timeout = after(UPLOAD_STALL_MS, () -> mindUpload(open, made, 0));
             }
             try {
-                made.attempt = endpoints.send(server, outgoing(open.message, wait),
+                made.attempt = endpoints.send(server, open.message, wait,
                     new AttemptEnding(open, made, wait));
             } catch (RuntimeException e) {
                 // How far it came is not known, so it may have run; the module must hear of its end.
@@ -322,23 +306,23 @@
     }
 
     /** Passes an answer on where it is the last word on its request. */
-    private void pass(Open open, Outcome outcome, AnswerReader.Answer answer) {
+    private void pass(Open<M, A> open, Outcome outcome, A answer) {
         if (outcome == Outcome.OK) {
             conclude(open);
             open.client.served(answer);
         } else if (outcome == Outcome.IGNORED) {
             conclude(open);
-            open.client.turnedAway(answer.status());
+            open.client.turnedAway(answer);
         }
     }
 
     /** What one attempt leads to. */
-    private final class AttemptEnding implements EndpointPool.Ending {
-        private final Open open;
+    private final class AttemptEnding implements Upstream.Ending<A> {
+        private final Open<M, A> open;
         private final Try made;
         private final double waitMs;
 
-        AttemptEnding(Open open, Try made, double waitMs) {
+        AttemptEnding(Open<M, A> open, Try made, double waitMs) {
             this.open = open;
             this.made = made;
             this.waitMs = waitMs;
@@ -354,7 +338,7 @@
         }
 
         @Override
-        public void streaming(AnswerReader.Beginning beginning, Pipe body) {
+        public void streaming(A beginning, Pipe body) {
             made.timeout.cancel(false);
             made.firstBytesMs = clock.now() - made.sentAt;
             if (open.concluded) {
@@ -371,7 +355,7 @@
         }
 
         @Override
-        public void ended(Outcome outcome, AnswerReader.Answer answer) {
+        public void ended(Outcome outcome, A answer) {
             if (answer != null && !open.concluded) {
                 pass(open, outcome, answer);
             }
@@ -380,7 +364,7 @@
     }
 
     /** Gives up an endpoint that takes nothing of a large body, though there is more of it to take. */
-    private void mindUpload(Open open, Try made, long passedBefore) {
+    private void mindUpload(Open<M, A> open, Try made, long passedBefore) {
         Pipe rest = open.message.rest();
         if (rest.passed() == passedBefore && !rest.isDrained()) {
             giveUp(open, made, Outcome.TIMED_OUT);
@@ -391,7 +375,7 @@
     }
 
     /** Gives up a large answer of which nothing moves: it is the endpoint's fault, or the client's. */
-    private void mindStream(Open open, Try made, Pipe body, long passedBefore) {
+    private void mindStream(Open<M, A> open, Try made, Pipe body, long passedBefore) {
         if (body.passed() == passedBefore) {
             giveUp(open, made, body.isDrained() ? Outcome.TIMED_OUT : Outcome.CANCELED);
         } else {
@@ -400,14 +384,8 @@
         }
     }
 
-    private static EndpointPool.Outgoing outgoing(Message from, double waitMs) {
-        HttpHeaders headers = from.headers().copy();
-        headers.set(RequestHeads.DEADLINE, (long) Math.ceil(waitMs));
-        return new EndpointPool.Outgoing(from.method(), from.uri(), headers, from.body(), from.rest());
-    }
-
     /** Stops waiting for an attempt. One that was not written whole is known not to have run. */
-    private void giveUp(Open open, Try made, Outcome outcome) {
+    private void giveUp(Open<M, A> open, Try made, Outcome outcome) {
         if (!made.ended) {
             // What this cuts of an answer leads back here by way of its client.
             open.stream = open.stream == made ? null : open.stream;
@@ -416,7 +394,7 @@
         }
     }
 
-    private void end(Open open, Try made, Outcome outcome) {
+    private void end(Open<M, A> open, Try made, Outcome outcome) {
         if (made.ended) {
             return;
         }
@@ -435,7 +413,7 @@
         });
     }
 
-    private void conclude(Open open) {
+    private void conclude(Open<M, A> open) {
         open.concluded = true;
         if (open.overdue != null) {
             open.overdue.cancel(false);
@@ -449,7 +427,7 @@
 
     @Override
     public void refuse(String id, double coolDownMs) {
-        Open open = table.get(id);
+        Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open);
             open.client.refused(coolDownMs);
@@ -458,7 +436,7 @@
 
     @Override
     public void fail(String id) {
-        Open open = table.get(id);
+        Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open);
             open.client.failed();
@@ -467,7 +445,7 @@
 
     @Override
     public void cancel(String id, int attempt) {
-        Open open = table.get(id);
+        Open<M, A> open = table.get(id);
         if (open != null && attempt < open.tries.size()) {
             giveUp(open, open.tries.get(attempt), Outcome.CANCELED);
         }
--- a/src/main/java/mapleroute/sidecar/AnswerReader.java
+++ b/edge/src/main/java/lemonrail/http1/AnswerReader.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -18,7 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import mapleroute.streaming.Pipe;
+import lemonrail.streaming.Pipe;
 
 /**
  * Reads the one answer that a connection to an endpoint waits for. A small one is told once all that has come
@@ -36,21 +36,13 @@
     /** An answer of unknown length that takes longer than this is passed on as it comes. */
     private static final int HOLD_MS = 500;
 
-    /** A final answer as it came. */
-    record Answer(int status, boolean notRun, boolean keepAlive, String contentType, byte[] body) {
-    }
-
-    /** What is known of a served answer whose body is still to come; the length is -1 if it is not told. */
-    record Beginning(String contentType, long length) {
-    }
-
     /** What comes of it. */
     interface Listener {
         /** The answer is whole; {@code clean} if nothing came with it, so that the connection may go on. */
         void answered(Answer answer, boolean clean);
 
         /** A large answer has begun; returns where its body goes. */
-        Pipe streaming(Beginning beginning);
+        Pipe streaming(Answer beginning);
 
         /** The large answer is whole; {@code clean} if the connection may go on. */
         void streamed(boolean clean);
@@ -216,8 +208,7 @@
             hold = null;
         }
         if (head.status().code() == HttpResponseStatus.OK.code()) {
-            pipe = listener.streaming(new Beginning(head.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                HttpUtil.getContentLength(head, -1L)));
+            pipe = listener.streaming(answer(new byte[0]));
             pass(body);
             pipe.flush();
             if (body != null) {
@@ -282,7 +273,8 @@
 
     private Answer answer(byte[] content) {
         return new Answer(head.status().code(), "1".equals(head.headers().get("X-Not-Run")),
-            HttpUtil.isKeepAlive(head), head.headers().get(HttpHeaderNames.CONTENT_TYPE), content);
+            HttpUtil.isKeepAlive(head), head.headers().get(HttpHeaderNames.CONTENT_TYPE),
+            HttpUtil.getContentLength(head, -1L), content);
     }
 
     @Override
--- a/src/main/java/mapleroute/sidecar/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -18,10 +18,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import mapleroute.sidecar.RequestReader.Incoming;
-import mapleroute.sidecar.RequestReader.Refusal;
-import mapleroute.streaming.PipeWriter;
-import mapleroute.upgrade.AcceptedSocket;
+import lemonrail.http1.RequestReader.Incoming;
+import lemonrail.http1.RequestReader.Refusal;
+import lemonrail.upgrade.AcceptedSocket;
 
 /** One connection of a client: its requests in, and their answers out in the same order. */
 final class ClientConnection extends SimpleChannelInboundHandler<Object> {
@@ -182,8 +181,8 @@
         int query = head.uri().indexOf('?');
         switch (query < 0 ? head.uri() : head.uri().substring(0, query)) {
             case "/api" -> api(reply, request);
-            case "/health/ready" -> reply.plain(frontend.isReady() ? HttpResponseStatus.OK
-                : HttpResponseStatus.SERVICE_UNAVAILABLE, frontend.phase());
+            case "/health/ready" -> reply.plain(frontend.lifecycle().isReady() ? HttpResponseStatus.OK
+                : HttpResponseStatus.SERVICE_UNAVAILABLE, frontend.lifecycle().word());
             default -> reply.plain(HttpResponseStatus.NOT_FOUND, "unknown path");
         }
     }
@@ -212,7 +211,7 @@
         }
     }
 
-    private static Exchange.Message message(Incoming request) {
+    private static RequestMessage message(Incoming request) {
         HttpRequest head = request.head();
         HttpHeaders headers = RequestHeads.endToEnd(head);
         if (request.rest() == null && request.body().length > 0) {
@@ -220,7 +219,7 @@
         } else if (request.rest() != null && !HttpUtil.isContentLengthSet(head)) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        return new Exchange.Message(head.method(), head.uri(), headers, request.body(), request.rest());
+        return new RequestMessage(head.method(), head.uri(), headers, request.body(), request.rest());
     }
 
     private void mindReading() {
--- a/src/main/java/mapleroute/sidecar/ClientGuard.java
+++ b/edge/src/main/java/lemonrail/http1/ClientGuard.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import lemonrail.time.Clock;
 
 /**
  * Stands before the decoder on a client's connection: bounds the time that it may stand open with no whole
--- a/src/main/java/mapleroute/sidecar/ClientReply.java
+++ b/edge/src/main/java/lemonrail/http1/ClientReply.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,11 +12,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import mapleroute.metrics.Metrics;
-import mapleroute.streaming.Pipe;
+import lemonrail.exchange.Client;
+import lemonrail.metrics.Metrics;
+import lemonrail.streaming.Pipe;
 
 /** The answer that one request on a client's connection will get, and its place in the figures. */
-final class ClientReply implements Exchange.Client {
+final class ClientReply implements Client<Answer> {
 
     private final ClientConnection connection;
     private final Metrics metrics;
@@ -106,7 +107,7 @@
     }
 
     @Override
-    public void served(AnswerReader.Answer answer) {
+    public void served(Answer answer) {
         FullHttpResponse served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
         if (answer.contentType() != null) {
             served.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
@@ -115,7 +116,7 @@
     }
 
     @Override
-    public void streaming(AnswerReader.Beginning beginning, Pipe rest) {
+    public void streaming(Answer beginning, Pipe rest) {
         HttpResponse begun = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (beginning.length() >= 0) {
             begun.headers().set(HttpHeaderNames.CONTENT_LENGTH, beginning.length());
@@ -130,8 +131,8 @@
     }
 
     @Override
-    public void turnedAway(int status) {
-        giveUp(new RequestReader.Refusal(HttpResponseStatus.valueOf(status), "turned away"));
+    public void turnedAway(Answer answer) {
+        giveUp(new RequestReader.Refusal(HttpResponseStatus.valueOf(answer.status()), "turned away"));
     }
 
     @Override
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointPool.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -7,17 +7,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -30,17 +21,20 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Outcome;
-import mapleroute.Contract.State;
-import mapleroute.metrics.Metrics;
-import mapleroute.sidecar.AnswerReader.Answer;
-import mapleroute.sidecar.AnswerReader.Beginning;
-import mapleroute.streaming.Budget;
-import mapleroute.streaming.Pipe;
-import mapleroute.streaming.PipeWriter;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.State;
+import lemonrail.discovery.ServerList;
+import lemonrail.exchange.Shard;
+import lemonrail.exchange.Upstream;
+import lemonrail.logging.Complaints;
+import lemonrail.metrics.Metrics;
+import lemonrail.net.Sockets;
+import lemonrail.streaming.Budget;
+import lemonrail.streaming.Pipe;
+import lemonrail.time.Clock;
 
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
-final class EndpointPool {
+final class EndpointPool implements Upstream<RequestMessage, Answer> {
 
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
@@ -48,53 +42,30 @@
     /** Bytes that don't belong to an answer may come a little after it: no connection is used before. */
     private static final double SETTLE_MS = 1;
 
-    /** What is sent: a request that is whole, or one whose body's first part is followed by the rest. */
-    record Outgoing(HttpMethod method, String uri, HttpHeaders headers, byte[] body, Pipe rest) {
-
-        private FullHttpRequest whole() {
-            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.wrappedBuffer(body),
-                headers, EmptyHttpHeaders.INSTANCE);
-        }
-
-        private HttpRequest head() {
-            return new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, headers);
-        }
-    }
-
-    /** What becomes of an attempt; nothing is told after {@link Attempt#giveUp}. */
-    interface Ending {
-        /** The last byte has been written: from here on the request may run. */
-        void written();
-
-        /** A large answer has begun, and its body comes through the pipe; {@link #ended} is still to come. */
-        void streaming(Beginning beginning, Pipe body);
-
-        /** It is over; told once. The answer is null where none came whole. */
-        void ended(Outcome outcome, Answer answer);
-    }
-
     /** One request on its way to an endpoint. */
-    final class Attempt {
-        private final Outgoing request;
-        private Ending ending;
+    private final class OneAttempt implements Upstream.Attempt {
+        private final RequestMessage request;
+        private final double waitMs;
+        private Upstream.Ending<Answer> ending;
         private Connection connection;
         /** The last byte has been handed to the network: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(Outgoing request, Ending ending) {
+        private OneAttempt(RequestMessage request, double waitMs, Upstream.Ending<Answer> ending) {
             this.request = request;
+            this.waitMs = waitMs;
             this.ending = ending;
         }
 
-        /** Stops waiting and closes the connection, which tells the endpoint; true if it may have run. */
-        boolean giveUp() {
+        @Override
+        public boolean giveUp() {
             ending = null;
             connection.close();
             return written;
         }
 
         private void end(Outcome outcome, Answer answer) {
-            Ending told = ending;
+            Upstream.Ending<Answer> told = ending;
             ending = null;
             if (told != null) {
                 told.ended(outcome, answer);
@@ -125,26 +96,27 @@
     private final Future<?> sweeping;
     private int open;
 
-    EndpointPool(EventLoop loop, Clock clock, Complaints complaints, Metrics metrics, Budget budget,
-            double dialMs, double idleCloseMs, int most) {
-        this.clock = clock;
-        this.complaints = complaints;
-        this.metrics = metrics;
-        this.budget = budget;
+    EndpointPool(Shard shard, int most) {
+        clock = shard.clock();
+        complaints = shard.complaints();
+        metrics = shard.metrics();
+        budget = shard.budget();
         this.most = most;
-        idleMs = idleCloseMs * IDLE_SHARE;
-        bootstrap = new Bootstrap().group(loop).channelFactory(EndpointSocket::new)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+        idleMs = shard.idleCloseMs() * IDLE_SHARE;
+        double dialMs = shard.settings().limits().connectTimeoutMs();
+        bootstrap = new Bootstrap().group(shard.loop()).channelFactory(EndpointSocket::new)
+            .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WRITE_MARKS)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.readSizes())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sockets.WRITE_MARKS)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readSizes())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs));
         long sweep = (long) Math.ceil(idleMs / SWEEPS);
-        sweeping = loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
+        sweeping = shard.loop().scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
     }
 
     /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
-    void update(ServerList list) {
+    @Override
+    public void update(ServerList list) {
         if (list.full()) {
             Set<String> named = new HashSet<>();
             list.entries().forEach(entry -> named.add(entry.server().id()));
@@ -185,13 +157,13 @@
         }
     }
 
-    /** Sets how many connections may be open at once; where more are, idle ones go first. */
-    void bound(int connections) {
+    @Override
+    public void bound(int connections) {
         most = connections;
     }
 
-    /** How many endpoints are known. */
-    int size() {
+    @Override
+    public int size() {
         return endpoints.size();
     }
 
@@ -202,8 +174,8 @@
         }
     }
 
-    /** Closes the idle connections to an endpoint. */
-    void disconnect(String id) {
+    @Override
+    public void disconnect(String id) {
         Endpoint endpoint = endpoints.get(id);
         if (endpoint != null) {
             closeAll(endpoint);
@@ -216,9 +188,10 @@
         }
     }
 
-    /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    Attempt send(String id, Outgoing request, Ending ending) {
-        Attempt attempt = new Attempt(request, ending);
+    @Override
+    public Upstream.Attempt send(String id, RequestMessage request, double waitMs,
+            Upstream.Ending<Answer> ending) {
+        OneAttempt attempt = new OneAttempt(request, waitMs, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
         Connection connection = endpoint == null ? null : reusable(endpoint);
@@ -253,7 +226,7 @@
         return found;
     }
 
-    private void refuse(Attempt attempt, String why) {
+    private void refuse(OneAttempt attempt, String why) {
         complaints.log("no connection", why);
         attempt.end(Outcome.CONNECT_ERROR, null);
     }
@@ -282,8 +255,8 @@
         }
     }
 
-    /** Lets go of all idle connections; no more are looked after. */
-    void close() {
+    @Override
+    public void close() {
         sweeping.cancel(false);
         endpoints.values().forEach(EndpointPool::closeAll);
     }
@@ -293,7 +266,7 @@
         private final int generation;
         private final AnswerReader reader = new AnswerReader(this);
         private EndpointSocket channel;
-        private Attempt attempt;
+        private OneAttempt attempt;
         /** What writes the rest of a large request, and where a large answer goes; else null. */
         private PipeWriter writer;
         private Pipe answer;
@@ -304,7 +277,7 @@
             generation = endpoint.generation;
         }
 
-        void open(Attempt first) {
+        void open(OneAttempt first) {
             attempt = first;
             first.connection = this;
             open++;
@@ -333,7 +306,7 @@
             });
         }
 
-        void write(Attempt next) {
+        void write(OneAttempt next) {
             endpoint.idle.remove(this);
             idle.remove(this);
             attempt = next;
@@ -341,12 +314,13 @@
             send(next);
         }
 
-        private void send(Attempt sent) {
+        private void send(OneAttempt sent) {
             if (sent.request.rest() == null) {
-                channel.writeAndFlush(sent.request.whole()).addListener(done -> written(sent, done));
+                channel.writeAndFlush(sent.request.whole(sent.waitMs))
+                    .addListener(done -> written(sent, done));
                 return;
             }
-            channel.write(sent.request.head());
+            channel.write(sent.request.head(sent.waitMs));
             channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(sent.request.body())));
             // An endpoint that is full need not wait for all of a large body to say so.
             reader.expect();
@@ -365,7 +339,7 @@
             sent.request.rest().to(writer);
         }
 
-        private void written(Attempt sent, Future<?> done) {
+        private void written(OneAttempt sent, Future<?> done) {
             sent.written = done.isSuccess();
             if (!done.isSuccess()) {
                 channel.close();
@@ -388,7 +362,7 @@
         private void lost() {
             endpoint.idle.remove(this);
             idle.remove(this);
-            Attempt ended = attempt;
+            OneAttempt ended = attempt;
             attempt = null;
             stopWriting();
             Pipe cut = answer;
@@ -410,7 +384,7 @@
 
         @Override
         public void answered(Answer whole, boolean clean) {
-            Attempt ended = release(clean && whole.keepAlive());
+            OneAttempt ended = release(clean && whole.keepAlive());
             if (ended != null) {
                 Outcome outcome = outcome(whole);
                 // Served, though its request was never whole: whatever that is, it is no answer.
@@ -419,7 +393,7 @@
         }
 
         @Override
-        public Pipe streaming(Beginning beginning) {
+        public Pipe streaming(Answer beginning) {
             answer = new Pipe(budget, on -> channel.config().setAutoRead(on));
             if (attempt != null && attempt.ending != null && attempt.written) {
                 attempt.ending.streaming(beginning, answer);
@@ -433,15 +407,15 @@
         @Override
         public void streamed(boolean clean) {
             answer = null;
-            Attempt ended = release(clean);
+            OneAttempt ended = release(clean);
             if (ended != null) {
                 ended.end(Outcome.OK, null);
             }
         }
 
         /** Ends the attempt's time on this connection, which is kept for others if it may be. */
-        private Attempt release(boolean usable) {
-            Attempt ended = attempt;
+        private OneAttempt release(boolean usable) {
+            OneAttempt ended = attempt;
             attempt = null;
             stopWriting();
             // First the connection, then the word: what it leads to may need the connection.
--- a/src/main/java/mapleroute/sidecar/EndpointSocket.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointSocket.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelFuture;
@@ -10,20 +10,24 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import mapleroute.Contract.Request;
-import mapleroute.Contract.Settings;
-import mapleroute.lifecycle.Lifecycle;
-import mapleroute.metrics.Metrics;
-import mapleroute.streaming.Budget;
-import mapleroute.upgrade.AcceptedSocket;
-import mapleroute.upgrade.SharedListener;
+import lemonrail.core.Contract.Request;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Front;
+import lemonrail.exchange.Shard;
+import lemonrail.lifecycle.Lifecycle;
+import lemonrail.logging.Complaints;
+import lemonrail.metrics.Metrics;
+import lemonrail.net.Sockets;
+import lemonrail.streaming.Budget;
+import lemonrail.time.Clock;
+import lemonrail.upgrade.AcceptedSocket;
+import lemonrail.upgrade.SharedListener;
 
 /** The listener for clients: which connections there are, which make room, and when they are let go. */
-final class Frontend {
+final class Frontend implements Front {
 
     private static final int BACKLOG = 1024;
     /** So long after a drain's start the front has surely noticed. */
@@ -37,7 +41,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Complaints complaints;
-    private final Exchange exchange;
+    private final Exchange<RequestMessage, Answer> exchange;
     private final Lifecycle lifecycle;
     private final Metrics metrics;
     private final Budget budget;
@@ -54,28 +58,28 @@
     private Future<?> sweeping;
     private double endsAt = Double.POSITIVE_INFINITY;
 
-    Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Lifecycle lifecycle,
-            Metrics metrics, Budget budget, Settings settings, int most) {
-        this.loop = loop;
-        this.clock = clock;
-        this.complaints = complaints;
+    Frontend(Shard shard, Exchange<RequestMessage, Answer> exchange, int most) {
+        loop = shard.loop();
+        clock = shard.clock();
+        complaints = shard.complaints();
+        lifecycle = shard.lifecycle();
+        metrics = shard.metrics();
+        budget = shard.budget();
         this.exchange = exchange;
-        this.lifecycle = lifecycle;
-        this.metrics = metrics;
-        this.budget = budget;
         this.most = most;
-        heads = new RequestHeads(settings);
+        heads = new RequestHeads(shard.settings());
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    @Override
+    public ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(SharedListener.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(SharedListener.SHARED, true)
-            .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childOption(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WRITE_MARKS)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.readSizes())
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Sockets.WRITE_MARKS)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readSizes())
             .childHandler(new ChannelInitializer<AcceptedSocket>() {
                 @Override
                 protected void initChannel(AcceptedSocket accepted) {
@@ -87,18 +91,18 @@
         return bound;
     }
 
-    /** Sets how many connections may be open at once; where more are, idle ones make room. */
-    void bound(int connections) {
+    @Override
+    public void bound(int connections) {
         most = connections;
     }
 
-    /** Goes on, but takes no request that might not be answered by then. */
-    void endAfter(double leftMs) {
+    @Override
+    public void endAfter(double leftMs) {
         endsAt = clock.now() + leftMs;
     }
 
-    /** Takes in all that wait at the listener, then closes it. */
-    void closeListener() {
+    @Override
+    public void closeListener() {
         if (listener != null) {
             listener.leave();
         }
@@ -109,15 +113,16 @@
      * connection. In this order, since who gets a last answer connects again at once, and what connects in
      * the instant between the listener's last look and its close is reset.
      */
-    void leave() {
+    @Override
+    public void leave() {
         if (listener != null) {
             listener.leave();
             listener.closeFuture().addListener(closed -> leaving = true);
         }
     }
 
-    /** Each answer is the last on its connection, and those that wait for none are let go. */
-    void finish() {
+    @Override
+    public void finish() {
         leaving = true;
         letGo(connection -> connection.isQuiet() && !connection.hasUnread());
     }
@@ -126,7 +131,8 @@
      * Empties the connections for as long as the drain lasts. Those with nothing asked on them stay until the
      * front has noticed, as it still hands out requests; later ones get as long.
      */
-    void drain() {
+    @Override
+    public void drain() {
         leaving = true;
         double noticed = clock.now() + NOTICE_MS;
         sweeping = loop.scheduleWithFixedDelay(() -> {
@@ -137,8 +143,8 @@
         }, NOTICE_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** The drain is over. */
-    void activate() {
+    @Override
+    public void activate() {
         leaving = false;
         if (sweeping != null) {
             sweeping.cancel(false);
@@ -150,23 +156,14 @@
         List.copyOf(connections).stream().filter(which).forEach(ClientConnection::close);
     }
 
-    /** Takes in no more, and lets go of the connections that wait for no answer. */
-    void close() {
+    @Override
+    public void close() {
         closeListener();
         finish();
     }
 
-    boolean isReady() {
-        return lifecycle.phase() == Lifecycle.Phase.READY && exchange.knowsEndpoints();
-    }
-
-    /** What the process is at, for people. */
-    String phase() {
-        return lifecycle.phase() == Lifecycle.Phase.READY && !exchange.knowsEndpoints()
-            ? "no endpoint is known" : lifecycle.phase().name().toLowerCase(Locale.ROOT);
-    }
-
-    boolean isEmpty() {
+    @Override
+    public boolean isEmpty() {
         return connections.isEmpty();
     }
 
@@ -195,6 +192,10 @@
 
     // ---- what connections need ----
 
+    Lifecycle lifecycle() {
+        return lifecycle;
+    }
+
     Clock clock() {
         return clock;
     }
@@ -207,7 +208,7 @@
         return budget;
     }
 
-    Exchange exchange() {
+    Exchange<RequestMessage, Answer> exchange() {
         return exchange;
     }
 
--- a/src/main/java/mapleroute/streaming/PipeWriter.java
+++ b/edge/src/main/java/lemonrail/http1/PipeWriter.java
@@ -1,10 +1,11 @@
-package mapleroute.streaming;
+package lemonrail.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
+import lemonrail.streaming.Pipe;
 
 /** Writes a body to a connection as fast as its far end takes it; the message's head has been written. */
 public final class PipeWriter implements Pipe.Far {
--- a/src/main/java/mapleroute/sidecar/RequestHeads.java
+++ b/edge/src/main/java/lemonrail/http1/RequestHeads.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -8,9 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Settings;
-import mapleroute.sidecar.RequestReader.Refusal;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Settings;
+import lemonrail.http1.RequestReader.Refusal;
 
 /** What the head of a request says to the decision module, or why it says nothing that can be served. */
 final class RequestHeads {
--- a/src/main/java/mapleroute/sidecar/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -18,8 +18,8 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
-import mapleroute.streaming.Budget;
-import mapleroute.streaming.Pipe;
+import lemonrail.streaming.Budget;
+import lemonrail.streaming.Pipe;
 
 /**
  * Makes requests of what the decoder has read: whole ones, or such as have outgrown what is held and whose
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/edge/src/main/java/lemonrail/http1/Warmup.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.http1;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -26,17 +26,25 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import mapleroute.Contract.Effect;
-import mapleroute.Contract.RequestClass;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
-import mapleroute.lifecycle.Lifecycle;
-import mapleroute.metrics.Metrics;
-import mapleroute.streaming.Budget;
-import mapleroute.suspension.Suspensions;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import lemonrail.discovery.ServerList;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Shard;
+import lemonrail.lifecycle.Lifecycle;
+import lemonrail.logging.Complaints;
+import lemonrail.metrics.Metrics;
+import lemonrail.net.Sockets;
+import lemonrail.streaming.Budget;
+import lemonrail.suspension.Suspensions;
+import lemonrail.time.Clock;
 
 /**
  * Runs made-up requests through a second set of the sidecar's parts, on its own address, so that the code
@@ -49,8 +57,12 @@
     /** A busy machine must not keep a sidecar from starting. */
     private static final int MOST_MS = 3000;
 
+    private static final int MOST_CONNECTIONS = 64;
+
     private final EventLoop loop;
-    private final SidecarConfig config;
+    private final Shard shard;
+    private final InetAddress host;
+    private final Path scratch;
     private final Runnable done;
     private EndpointPool pool;
     private Frontend frontend;
@@ -59,16 +71,18 @@
     private int rounds;
     private boolean over;
 
-    Warmup(EventLoop loop, SidecarConfig config, Runnable done) {
-        this.loop = loop;
-        this.config = config;
+    Warmup(Shard shard, InetAddress host, Path scratch, Runnable done) {
+        loop = shard.loop();
+        this.shard = shard;
+        this.host = host;
+        this.scratch = scratch;
         this.done = done;
     }
 
     void start() {
         loop.schedule(this::end, MOST_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childOption(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel accepted) {
@@ -88,26 +102,22 @@
     }
 
     private InetSocketAddress ephemeral() {
-        return new InetSocketAddress(config.listen().getAddress(), 0);
+        return new InetSocketAddress(host, 0);
     }
 
     private void startSidecar(InetSocketAddress at) {
         Clock clock = new Clock();
         Complaints silent = new Complaints(clock, new PrintStream(OutputStream.nullOutputStream()));
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
-            new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
-        SidecarConfig own = new SidecarConfig(config.name(), ephemeral(), null, at, config.folder(),
-            config.seed(), config.memoryMb(), config.sockets(), config.idleCloseMs(), config.names(), list,
-            config.settings());
-        Metrics metrics = new Metrics(config.classNames());
-        Budget budget = new Budget(Long.MAX_VALUE);
-        pool = new EndpointPool(loop, clock, silent, metrics, budget, MOST_MS, config.idleCloseMs(),
-            config.sockets());
-        Exchange exchange = new Exchange(loop, clock, silent, pool, budget, () -> { },
-            new Suspensions(config.kept("warm-up"), silent::say), own);
-        frontend = new Frontend(loop, clock, silent, exchange, new Lifecycle(), metrics, budget,
-            config.settings(), config.sockets());
-        ChannelFuture bound = frontend.listen(own.listen());
+            new Server("warm-up", shard.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
+        Metrics metrics = new Metrics(shard.settings().classes().stream().map(RequestClass::name).toList());
+        Shard own = new Shard(loop, clock, silent, metrics, new Budget(Long.MAX_VALUE),
+            new Lifecycle(() -> true), shard.settings(), shard.idleCloseMs());
+        pool = new EndpointPool(own, MOST_CONNECTIONS);
+        Exchange<RequestMessage, Answer> exchange = new Exchange<>(own, pool,
+            new Suspensions(scratch, silent::say), 0, list, () -> { });
+        frontend = new Frontend(own, exchange, MOST_CONNECTIONS);
+        ChannelFuture bound = frontend.listen(ephemeral());
         bound.addListener(up -> {
             if (up.isSuccess() && !over) {
                 startClient((InetSocketAddress) bound.channel().localAddress());
@@ -119,7 +129,7 @@
 
     private void startClient(InetSocketAddress at) {
         ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
@@ -140,7 +150,7 @@
     }
 
     private void ask() {
-        List<RequestClass> classes = config.settings().classes();
+        List<RequestClass> classes = shard.settings().classes();
         RequestClass kind = classes.get(rounds % classes.size());
         boolean safe = kind.effect() == Effect.REPEATABLE;
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
@@ -149,8 +159,8 @@
         request.headers().set("X-Request-Id", "warm-up-" + rounds).set("X-Class", kind.name())
             .set(RequestHeads.DEADLINE, MOST_MS).set("Host", "warm-up").set("Cookie", "key=0")
             .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-        if (!config.settings().tenants().isEmpty()) {
-            request.headers().set("X-Tenant", config.settings().tenants().get(0).name());
+        if (!shard.settings().tenants().isEmpty()) {
+            request.headers().set("X-Tenant", shard.settings().tenants().get(0).name());
         }
         client.writeAndFlush(request);
     }
--- a/src/main/java/mapleroute/lifecycle/Lifecycle.java
+++ b/edge/src/main/java/lemonrail/lifecycle/Lifecycle.java
@@ -1,4 +1,7 @@
-package mapleroute.lifecycle;
+package lemonrail.lifecycle;
+
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
 
 /**
  * What the process is at: starting, ready, draining by the operators' word, or stopping for good. A drain can
@@ -9,10 +12,27 @@
     /** The phases, as operators know them. */
     public enum Phase { STARTING, READY, DRAINING, STOPPING }
 
+    private final BooleanSupplier knowsEndpoints;
     private boolean started;
     private boolean drained;
     private boolean stopping;
 
+    /** A process that is of no use to clients before it knows of an endpoint. */
+    public Lifecycle(BooleanSupplier knowsEndpoints) {
+        this.knowsEndpoints = knowsEndpoints;
+    }
+
+    /** Whether clients may come. */
+    public boolean isReady() {
+        return phase() == Phase.READY && knowsEndpoints.getAsBoolean();
+    }
+
+    /** What the process is at, for people. */
+    public String word() {
+        return phase() == Phase.READY && !isReady() ? "no endpoint is known"
+            : phase().name().toLowerCase(Locale.ROOT);
+    }
+
     /** Where the process stands now. */
     public Phase phase() {
         return stopping ? Phase.STOPPING : drained ? Phase.DRAINING : started ? Phase.READY : Phase.STARTING;
--- a/src/main/java/mapleroute/metrics/Metrics.java
+++ b/edge/src/main/java/lemonrail/metrics/Metrics.java
@@ -1,4 +1,4 @@
-package mapleroute.metrics;
+package lemonrail.metrics;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/mapleroute/streaming/Budget.java
+++ b/edge/src/main/java/lemonrail/streaming/Budget.java
@@ -1,4 +1,4 @@
-package mapleroute.streaming;
+package lemonrail.streaming;
 
 import java.util.LinkedHashSet;
 import java.util.List;
--- a/src/main/java/mapleroute/streaming/Pipe.java
+++ b/edge/src/main/java/lemonrail/streaming/Pipe.java
@@ -1,4 +1,4 @@
-package mapleroute.streaming;
+package lemonrail.streaming;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/mapleroute/suspension/SuspensionFile.java
+++ b/edge/src/main/java/lemonrail/suspension/SuspensionFile.java
@@ -1,4 +1,4 @@
-package mapleroute.suspension;
+package lemonrail.suspension;
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
--- a/src/main/java/mapleroute/suspension/Suspensions.java
+++ b/edge/src/main/java/lemonrail/suspension/Suspensions.java
@@ -1,4 +1,4 @@
-package mapleroute.suspension;
+package lemonrail.suspension;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -11,9 +11,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import mapleroute.Contract.ListKind;
-import mapleroute.Contract.Server;
-import mapleroute.Contract.State;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
 
 /**
  * The endpoints that operators have taken out by hand, laid over discovery's list: whatever discovery says of
--- a/src/main/java/mapleroute/upgrade/AcceptedSocket.java
+++ b/edge/src/main/java/lemonrail/upgrade/AcceptedSocket.java
@@ -1,4 +1,4 @@
-package mapleroute.upgrade;
+package lemonrail.upgrade;
 
 import io.netty.channel.Channel;
 import io.netty.channel.socket.nio.NioSocketChannel;
--- a/src/main/java/mapleroute/upgrade/Presence.java
+++ b/edge/src/main/java/lemonrail/upgrade/Presence.java
@@ -1,4 +1,4 @@
-package mapleroute.upgrade;
+package lemonrail.upgrade;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/mapleroute/sidecar/Fake.java
+++ b/edge/src/test/java/lemonrail/assembly/Fake.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import java.io.Closeable;
 import java.io.IOException;
--- a/src/test/java/mapleroute/sidecar/OperatorsDoorTest.java
+++ b/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
-import mapleroute.management.OperatorsDoor;
+import lemonrail.admin.OperatorsDoor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/edge/src/test/java/lemonrail/assembly/Rig.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import lemonrail.http1.Http1;
 
 /** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
 final class Rig implements Closeable {
@@ -73,7 +74,8 @@
     Rig start() throws IOException {
         configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
         folder = folder == null ? Files.createTempDirectory("sidecar") : folder;
-        sidecar = Sidecar.create(configFile, Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0"),
+        sidecar = Sidecar.create(new Http1(), configFile,
+            Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0"),
             new PrintStream(log, true, StandardCharsets.UTF_8));
         sidecar.open();
         return this;
--- a/src/test/java/mapleroute/sidecar/Served.java
+++ b/edge/src/test/java/lemonrail/assembly/Served.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -30,7 +30,7 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("-XX:TieredStopAtLevel=1");
         command.addAll(List.of(flags));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "mapleroute.Main", "serve"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
--- a/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SidecarConfigTest.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import lemonrail.config.SidecarConfig;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/mapleroute/sidecar/SmallHeapTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SmallHeapTest.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/mapleroute/sidecar/Wire.java
+++ b/edge/src/test/java/lemonrail/assembly/Wire.java
@@ -1,4 +1,4 @@
-package mapleroute.sidecar;
+package lemonrail.assembly;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/mapleroute/benchlink/BenchLinkTest.java
+++ b/edge/src/test/java/lemonrail/benchlink/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package mapleroute.benchlink;
+package lemonrail.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import mapleroute.Main;
+import lemonrail.cli.Main;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/mapleroute/MainTest.java
+++ b/edge/src/test/java/lemonrail/cli/MainTest.java
@@ -1,4 +1,4 @@
-package mapleroute;
+package lemonrail.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -32,7 +32,7 @@
         Path file = Files.writeString(folder.resolve("config.json"), config);
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
             .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            "mapleroute.Main", "serve");
+            "lemonrail.cli.Main", "serve");
         builder.environment().put("GW_CONFIG", file.toString());
         return builder.redirectErrorStream(true).start();
     }
@@ -83,7 +83,7 @@
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
         try (BufferedReader log = process.inputReader()) {
             List<String> lines = log.lines().toList();
-            assertEquals(List.of("mapleroute: field limits.sockets is not usable: many"), lines);
+            assertEquals(List.of("lemonrail: field limits.sockets is not usable: many"), lines);
             assertTrue(process.waitFor() > 0);
         } finally {
             process.destroyForcibly();
