--- a/edge/src/main/java/lemonrail/admin/Operations.java
+++ b/edge/src/main/java/lemonrail/admin/Operations.java
@@ -1,5 +1,7 @@
 package lemonrail.admin;
 
+import lemonrail.logging.Severity;
+
 /** What the operators' door can have done, on the event loop; whoever owns the state carries it out. */
 public interface Operations {
 
@@ -21,6 +23,12 @@
     /** Lets an endpoint serve again, however often it was suspended. */
     Verdict resume(String endpoint);
 
+    /** The loggers that have a level of their own and which, one a line. */
+    String levels();
+
+    /** From which severity on events of this logger are written; false if there are too many such already. */
+    boolean level(String logger, Severity severity);
+
     /** Empties the sidecar. */
     void drain();
 
--- a/edge/src/main/java/lemonrail/admin/Router.java
+++ b/edge/src/main/java/lemonrail/admin/Router.java
@@ -3,14 +3,20 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import lemonrail.logging.Severity;
 
 /** Which call is which: from method and path to what is answered. It keeps no state of its own. */
 final class Router {
 
     private static final String ENDPOINTS = "/v1/endpoints/";
+    private static final Pattern LOGGER =
+        Pattern.compile("/v1/loggers/(lemonrail(?:\\.[a-z0-9]{1,32})?)/(debug|info|warn|error)");
 
     /** An answer of the door: a status and a text that ends with a line break. */
     record Answer(HttpResponseStatus status, String text, HttpMethod allowed) {
@@ -32,6 +38,8 @@
             "/v1/readyz", new Route(HttpMethod.GET, this::ready),
             "/v1/metrics", new Route(HttpMethod.GET,
                 () -> new Answer(HttpResponseStatus.OK, operations.figures(), null)),
+            "/v1/loggers", new Route(HttpMethod.GET,
+                () -> new Answer(HttpResponseStatus.OK, operations.levels(), null)),
             "/v1/sidecar/drain", new Route(HttpMethod.PUT, () -> done("draining", operations::drain)),
             "/v1/sidecar/activate", new Route(HttpMethod.PUT, () -> done("active", operations::activate)));
         ofEndpoint = Map.of(
@@ -43,7 +51,9 @@
     Answer route(HttpMethod method, String uri) {
         int query = uri.indexOf('?');
         String path = query < 0 ? uri : uri.substring(0, query);
-        Route route = path.startsWith(ENDPOINTS) ? endpointRoute(path) : fixed.get(path);
+        Matcher logger = LOGGER.matcher(path);
+        Route route = path.startsWith(ENDPOINTS) ? endpointRoute(path)
+            : logger.matches() ? levelRoute(logger.group(1), logger.group(2)) : fixed.get(path);
         if (route == null) {
             return Answer.of(HttpResponseStatus.NOT_FOUND, "unknown path");
         }
@@ -72,6 +82,14 @@
         });
     }
 
+    private Route levelRoute(String logger, String level) {
+        Severity severity = Severity.valueOf(level.toUpperCase(Locale.ROOT));
+        return new Route(HttpMethod.PUT,
+            () -> operations.level(logger, severity)
+                ? Answer.of(HttpResponseStatus.OK, logger + "=" + level)
+                : Answer.of(HttpResponseStatus.CONFLICT, "too many loggers have a level of their own"));
+    }
+
     private Answer ready() {
         return Answer.of(operations.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
             operations.phase());
--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -7,17 +7,23 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.File;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import lemonrail.admin.Operations;
 import lemonrail.admin.OperatorsDoor;
-import lemonrail.config.SidecarConfig;
+import lemonrail.config.ConfigSource;
+import lemonrail.config.EdgeConfig;
+import lemonrail.config.Loaded;
+import lemonrail.config.PlatformFile;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Front;
@@ -26,7 +32,9 @@
 import lemonrail.exchange.Shard;
 import lemonrail.exchange.Upstream;
 import lemonrail.lifecycle.Lifecycle;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
+import lemonrail.logging.LogSink;
+import lemonrail.logging.Severity;
 import lemonrail.metrics.Metrics;
 import lemonrail.net.Sockets;
 import lemonrail.streaming.Budget;
@@ -56,46 +64,47 @@
     private static final int DRAIN_SLACK_MS = 300;
     /** How often it is seen to what the sidecar's other process does, if there is one. */
     private static final int LOOK_ROUND_MS = 100;
-
-    private final Path file;
-    private final Map<String, String> environment;
-    private final PrintStream log;
-    private final SidecarConfig config;
+    /** Loggers that may have a level of their own. */
+    private static final int MOST_LEVELS = 64;
+
+    private final ConfigSource source;
+    private final LogSink sink;
+    private final EdgeConfig config;
+    /** The values in force, which a reload compares with the file's. */
+    private List<Loaded.Value> values;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Protocol<?, ?> protocol;
     private final Lifecycle lifecycle = new Lifecycle(() -> knowsEndpoints());
     private Shard shard;
     private final Metrics metrics;
-    private Complaints complaints;
+    private EventLog log;
     private Suspensions suspensions;
     private Presence presence;
     private OperatorsDoor door;
-    private Front frontend;
+    private Listeners listeners;
     private DiscoveryClient discovery;
     private Upstream<?, ?> endpoints;
-    private InetSocketAddress address;
+    private final List<InetSocketAddress> addresses = new CopyOnWriteArrayList<>();
     private int ownFiles;
     private boolean sharesLimits;
     private Exchange<?, ?> exchange;
 
-    private Sidecar(Protocol<?, ?> protocol, Path file, Map<String, String> environment, PrintStream log)
-            throws IOException {
+    private Sidecar(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink) {
         this.protocol = protocol;
-        this.file = file;
-        this.environment = environment;
-        this.log = log;
-        config = SidecarConfig.read(file, environment);
+        this.source = source;
+        values = loaded.values();
+        config = loaded.config();
+        this.sink = sink;
         metrics = new Metrics(config.classNames());
         group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"),
             NioIoHandler.newFactory());
         loop = (EventLoop) group.next();
     }
 
-    /** Reads the configuration and builds the parts; what goes wrong is an exception that says so plainly. */
-    public static Sidecar create(Protocol<?, ?> protocol, Path file, Map<String, String> environment,
-            PrintStream log) throws IOException {
-        Sidecar sidecar = new Sidecar(protocol, file, environment, log);
+    /** Builds the parts by a configuration that was loaded from this source, which a reload reads again. */
+    public static Sidecar create(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink) {
+        Sidecar sidecar = new Sidecar(protocol, source, loaded, sink);
         sidecar.loop.submit(sidecar::build).syncUninterruptibly();
         return sidecar;
     }
@@ -108,58 +117,69 @@
     public void open() throws IOException {
         long began = System.nanoTime();
         try {
-            if (config.mgmt() != null) {
-                awaitBound("mgmt", config.mgmt(), door.listen(config.mgmt()));
+            if (config.admin() != null) {
+                awaitBound("the operators' door", config.admin(), door.listen(config.admin()));
             }
             if (!sharesLimits) {
                 listen();
             }
             CountDownLatch warm = new CountDownLatch(1);
             loop.execute(() -> protocol.warmUp(shard,
-                config.listen().getAddress(), config.kept("warm-up"), warm::countDown));
+                config.listeners().get(0).getAddress(), config.kept("warm-up"), warm::countDown));
             warm.await();
-            if (address == null) {
+            if (addresses.isEmpty()) {
                 listen();
             }
             loop.submit(lifecycle::started).sync();
-            log.println("lemonrail: serving at " + address + ", warm after "
-                + (System.nanoTime() - began) / 1_000_000 + " ms");
+            long tookMs = (System.nanoTime() - began) / 1_000_000;
+            InetSocketAddress at = addresses.get(0);
+            log.info("serving", "serving at " + addresses.stream().map(String::valueOf)
+                .collect(Collectors.joining(" and ")) + ", warm after " + tookMs + " ms",
+                "address", at, "took_ms", tookMs);
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
         }
     }
 
     private void listen() throws IOException, InterruptedException {
-        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen())).sync().getNow();
-        awaitBound("listen", config.listen(), bound);
-        address = (InetSocketAddress) bound.channel().localAddress();
+        for (InetSocketAddress at : config.listeners()) {
+            ChannelFuture bound = loop.submit(() -> listeners.open(at)).sync().getNow();
+            awaitBound("listen", at, bound);
+            addresses.add((InetSocketAddress) bound.channel().localAddress());
+        }
     }
 
     private void awaitBound(String field, InetSocketAddress at, ChannelFuture bound)
             throws IOException, InterruptedException {
         if (!bound.await().isSuccess()) {
             stop();
-            throw new IOException("field " + field + ": cannot listen on " + at + ": "
+            throw new IOException(field + ": cannot listen on " + at + ": "
                 + bound.cause().getMessage());
         }
     }
 
     private void build() {
         Clock clock = new Clock();
-        complaints = new Complaints(clock, log);
-        suspensions = new Suspensions(config.kept("suspended"), complaints::say);
-        presence = new Presence(config.kept("processes"), complaints::say);
-        ownFiles = openFiles() + SPARE_SOCKETS + (config.mgmt() == null ? 0 : OperatorsDoor.MOST_CONNECTIONS);
+        log = new EventLog(clock, sink);
+        suspensions = new Suspensions(config.kept("suspended"), log);
+        presence = new Presence(config.kept("processes"), log);
+        ownFiles = openFiles() + SPARE_SOCKETS
+            + (config.admin() == null ? 0 : OperatorsDoor.MOST_CONNECTIONS);
         sharesLimits = presence.hasOther();
         int half = half();
         double bodiesMb = Math.min(MOST_BODIES_MB, config.memoryMb() / BODIES_SHARE);
         Budget budget = new Budget((long) (bodiesMb * 1024 * 1024));
-        shard = new Shard(loop, clock, complaints, metrics, budget, lifecycle, config.settings(),
+        shard = new Shard(loop, clock, log, metrics, budget, lifecycle, config.settings(),
             config.idleCloseMs());
-        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
+        discovery = config.discovery() == null ? null
+            : new DiscoveryClient(loop, config.discovery(), config.names(), log);
         connect(protocol, half);
-        discovery.listen(exchange, config.known().version());
-        door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), complaints::bug);
+        if (discovery != null) {
+            discovery.listen(exchange, config.known().version());
+        }
+        door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
+        metrics.gauge("log_dropped", sink::dropped);
+        metrics.gauge("log_suppressed", log::suppressed);
         metrics.gauge("targets", suspensions::listed);
         metrics.gauge("targets_disabled", () -> suspensions.listedSuspended() + exchange.avoided());
         loop.scheduleWithFixedDelay(this::lookRound, LOOK_ROUND_MS, LOOK_ROUND_MS, TimeUnit.MILLISECONDS);
@@ -168,10 +188,10 @@
     private <M extends Message, A> void connect(Protocol<M, A> spoken, int half) {
         Upstream<M, A> upstream = spoken.upstream(shard, half);
         Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, config.seed(), config.known(),
-            discovery::watch);
+            discovery == null ? () -> { } : discovery::watch);
         endpoints = upstream;
         exchange = between;
-        frontend = spoken.front(shard, between, clients(half));
+        listeners = new Listeners(most -> spoken.front(shard, between, most), clients(half));
     }
 
     private boolean knowsEndpoints() {
@@ -198,39 +218,103 @@
             exchange.retell(suspensions.refresh());
             shareLimits(presence.hasOther());
         } catch (RuntimeException e) {
-            complaints.bug("looking round failed", e);
+            log.bug("looking round failed", e);
         }
     }
 
     private void shareLimits(boolean shares) {
         if (shares != sharesLimits) {
             sharesLimits = shares;
-            complaints.say(shares ? "another process of this sidecar runs: the limits are shared"
-                : "the only process of this sidecar from now on");
+            log.info(shares ? "limits_shared" : "limits_own",
+                shares ? "another process of this sidecar runs: the limits are shared"
+                    : "the only process of this sidecar from now on");
             int half = half();
             endpoints.bound(half);
-            frontend.bound(clients(half));
+            listeners.bound(clients(half));
         }
     }
 
     /**
-     * Reads the configuration again and moves to the discovery that it names; the rest of it holds from the
-     * next start on. One that cannot be used changes nothing.
+     * Reads the configuration again. What can change while the edge serves does: the address of discovery,
+     * the fixed list of endpoints, listeners and levels of the log. All else is named in the log and holds
+     * from the next start on. A file that cannot be used, or a listener that is taken, changes nothing.
      */
     public void reload() {
         loop.execute(() -> {
             try {
-                InetSocketAddress named = SidecarConfig.read(file, environment).discovery();
-                log.println("lemonrail: configuration read again: discovery is at " + named);
-                discovery.move(named);
-                metrics.reloaded(true);
+                Loaded next = source.load();
+                if (source instanceof PlatformFile) {
+                    // The platform changes where its discovery is, and nothing else.
+                    adopt(next);
+                } else {
+                    listeners.change(next.config().listeners(), new ListenersChanged(next));
+                }
             } catch (IOException | RuntimeException e) {
-                log.println("lemonrail: the configuration stays as it was: " + e.getMessage());
-                metrics.reloaded(false);
+                reject(e.getMessage());
             }
         });
     }
 
+    private void reject(String why) {
+        log.warn("config_rejected", "the configuration stays as it was: " + why);
+        metrics.reloaded(false);
+    }
+
+    private void adopt(Loaded next) {
+        EdgeConfig now = next.config();
+        if (discovery != null && now.discovery() != null) {
+            log.info("config_reloaded", "configuration read again: discovery is at " + now.discovery());
+            discovery.move(now.discovery());
+        } else {
+            log.info("config_reloaded", "configuration read again");
+        }
+        if (discovery == null) {
+            exchange.listed(now.known());
+        }
+        now.logging().levels().forEach(sink::level);
+        List<String> kept = unchangeable(next.values());
+        if (!kept.isEmpty()) {
+            log.warn("config_needs_restart", "these hold from the next start on: " + kept, "keys", kept);
+        }
+        metrics.reloaded(true);
+    }
+
+    /** Which values differ from those in force but cannot be taken up before the next start. */
+    private List<String> unchangeable(List<Loaded.Value> next) {
+        if (source instanceof PlatformFile) {
+            return List.of();
+        }
+        Map<String, String> before = new HashMap<>();
+        values.forEach(value -> before.put(value.key(), value.text()));
+        Map<String, String> after = new HashMap<>();
+        next.forEach(value -> after.put(value.key(), value.text()));
+        boolean listAppears = config.discovery() == null && after.containsKey("discovery.address");
+        boolean listGoes = config.discovery() != null && !after.containsKey("discovery.address");
+        return Stream.concat(next.stream(), values.stream())
+            .filter(value -> !value.live()
+                || value.key().equals("discovery.address") && (listAppears || listGoes))
+            .map(Loaded.Value::key).distinct()
+            .filter(key -> !Objects.equals(before.get(key), after.get(key))).sorted().toList();
+    }
+
+    private final class ListenersChanged implements Listeners.Changed {
+        private final Loaded next;
+
+        ListenersChanged(Loaded next) {
+            this.next = next;
+        }
+
+        @Override
+        public void done() {
+            adopt(next);
+        }
+
+        @Override
+        public void failed(InetSocketAddress at, Throwable why) {
+            reject("cannot listen on " + at + ": " + why.getMessage());
+        }
+    }
+
     /**
      * Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. While
      * there is time clients go on using the connections that they have: where the others that could serve
@@ -246,17 +330,18 @@
         long lastCallMs = Math.max(LINGER_MS, endMs - FINISH_MS);
         loop.execute(() -> {
             lifecycle.stop();
-            frontend.endAfter(endMs);
+            listeners.each(front -> front.endAfter(endMs));
             boolean succeeded = presence.hasOther();
-            log.println("lemonrail: stopping" + (succeeded ? ", another process goes on" : ""));
+            log.info("stopping", "stopping" + (succeeded ? ", another process goes on" : ""),
+                "succeeded", succeeded);
             if (succeeded) {
-                frontend.leave();
+                listeners.each(Front::leave);
             }
         });
-        loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(frontend::finish, lastCallMs, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> listeners.each(Front::closeListener), LINGER_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> listeners.each(Front::finish), lastCallMs, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
-            if (frontend.isEmpty()) {
+            if (listeners.all(Front::isEmpty)) {
                 empty.countDown();
             }
         }, LINGER_MS, EMPTY_POLL_MS, TimeUnit.MILLISECONDS);
@@ -266,8 +351,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        log.println(empty.getCount() == 0 ? "lemonrail: all connections are done with"
-            : "lemonrail: not all connections were empty in time");
+        boolean done = empty.getCount() == 0;
+        log.info("stopped", done ? "all connections are done with"
+            : "not all connections were empty in time", "empty", done);
         stop();
     }
 
@@ -282,7 +368,7 @@
 
     /** Where clients connect. */
     InetSocketAddress address() {
-        return address;
+        return addresses.get(0);
     }
 
     /** Where operators call. */
@@ -296,7 +382,7 @@
         try {
             presence.close();
         } catch (IOException e) {
-            complaints.say("cannot leave the list of processes: " + e.getMessage());
+            log.warn("presence_unknown", "cannot leave the list of processes: " + e.getMessage());
         }
     }
 
@@ -335,29 +421,51 @@
             try {
                 Set<String> changed = change.make();
                 if (!changed.isEmpty()) {
-                    complaints.say(word + " by hand: " + endpoint);
+                    log.info(word, word + " by hand: " + endpoint, "by", "hand", "endpoint", endpoint);
                 }
                 exchange.retell(changed);
                 return Verdict.DONE;
             } catch (IOException e) {
-                complaints.say(endpoint + " is not " + word + ": " + e.getMessage());
+                log.warn("suspension_failed", endpoint + " is not " + word + ": " + e.getMessage(),
+                    "endpoint", endpoint);
                 return Verdict.FAILED;
             }
         }
 
+        @Override
+        public String levels() {
+            StringBuilder text = new StringBuilder();
+            sink.levels().forEach((logger, level) ->
+                text.append(logger).append('=').append(level).append('\n'));
+            return text.toString();
+        }
+
+        @Override
+        public boolean level(String logger, Severity severity) {
+            Map<String, String> set = sink.levels();
+            if (set.size() >= MOST_LEVELS && !set.containsKey(logger)) {
+                return false;
+            }
+            sink.level(logger, severity);
+            log.info("level_changed", "level by hand: " + logger + " from " + severity + " on", "of", logger,
+                "to", severity);
+            return true;
+        }
+
         @Override
         public void drain() {
             if (lifecycle.drain()) {
-                complaints.say("drain by hand: connections are emptied until the sidecar is activated");
-                frontend.drain();
+                log.info("drain_started",
+                    "drain by hand: connections are emptied until the sidecar is activated");
+                listeners.each(Front::drain);
             }
         }
 
         @Override
         public void activate() {
             if (lifecycle.activate()) {
-                complaints.say("activated by hand: the drain is over");
-                frontend.activate();
+                log.info("drain_ended", "activated by hand: the drain is over");
+                listeners.each(Front::activate);
             }
         }
     }
--- /dev/null
+++ b/edge/src/main/java/lemonrail/cli/Outline.java
@@ -0,0 +1,50 @@
+package lemonrail.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import lemonrail.config.EdgeConfig;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.State;
+
+/** What an edge of a configuration would do, in a few lines for people. */
+final class Outline {
+
+    private Outline() {
+    }
+
+    static List<String> lines(Path file, EdgeConfig config) {
+        List<String> lines = new ArrayList<>();
+        lines.add(file + ": good");
+        lines.add("  " + config.name() + " would listen on " + config.listeners().stream().map(Outline::plain)
+            .collect(Collectors.joining(", ")) + (config.admin() == null ? ", without an operators' door"
+            : ", operators call " + plain(config.admin())));
+        long ready = config.known().servers().stream()
+            .filter(server -> server.state() == State.READY).count();
+        lines.add("  it would send to " + (config.discovery() == null
+            ? ready + " of " + config.known().servers().size() + " fixed endpoints"
+            : "what discovery at " + plain(config.discovery()) + " lists, and start from "
+                + config.known().servers().size() + " known endpoints"));
+        for (RequestClass kind : config.settings().classes()) {
+            lines.add("  class " + kind.name() + ": " + switch (kind.effect()) {
+                case REPEATABLE -> "repeated where that helps";
+                case BY_KEY -> "repeated by key within " + time(kind.windowMs());
+                default -> "never repeated if it may have run";
+            } + ", wanted within " + time(kind.aimMs()) + ", given up after " + time(kind.deadlineMs()));
+        }
+        lines.add("  " + config.settings().tenants().size() + " tenants, at most "
+            + config.settings().limits().tries() + " attempts a request, " + config.sockets()
+            + " descriptors, " + (long) config.memoryMb() + "MiB");
+        lines.add("  files are kept at " + config.kept("*"));
+        return lines;
+    }
+
+    private static String plain(java.net.InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static String time(double ms) {
+        return ms >= 1000 ? ms / 1000 + "s" : ms + "ms";
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/lemonrail/config/Key.java
@@ -0,0 +1,26 @@
+package lemonrail.config;
+
+/**
+ * One key of the operators' file.
+ *
+ * @param name within its table
+ * @param usual the value in force where the file has none, as it would be written; null where there is none
+ * @param required whether the file must have it
+ * @param live whether a reload takes a change of it up
+ * @param meaning one line for the operators
+ */
+record Key<T>(String name, ValueType<T> type, String usual, boolean required, boolean live, String meaning) {
+
+    static <T> Key<T> required(String name, ValueType<T> type, String meaning) {
+        return new Key<>(name, type, null, true, false, meaning);
+    }
+
+    static <T> Key<T> optional(String name, ValueType<T> type, String usual, String meaning) {
+        return new Key<>(name, type, usual, false, false, meaning);
+    }
+
+    /** The same, of which a reload takes a change up. */
+    Key<T> changeable() {
+        return new Key<>(name, type, usual, required, true, meaning);
+    }
+}
--- a/edge/src/main/java/lemonrail/config/SidecarConfig.java
+++ b/edge/src/main/java/lemonrail/config/PlatformFile.java
@@ -9,45 +9,50 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import lemonrail.core.Contract.RequestClass;
-import lemonrail.core.Contract.Settings;
 import lemonrail.core.SettingsReader;
 import lemonrail.discovery.ServerList;
 import lemonrail.json.Json;
+import lemonrail.logging.LogSettings;
 
-/**
- * What a sidecar is told at its start, read from the file that GW_CONFIG names.
- *
- * @param name the sidecar's name, the same after a restart
- * @param mgmt where operators call, or null where they have no door
- * @param folder where what outlives the process is kept
- * @param memoryMb the memory that the sidecar's processes may take together
- * @param sockets the descriptors that the process may hold
- * @param idleCloseMs after how long at most an endpoint closes an idle connection
- */
-public record SidecarConfig(String name, InetSocketAddress listen, InetSocketAddress mgmt,
-        InetSocketAddress discovery, Path folder, long seed, double memoryMb,
-        int sockets, double idleCloseMs,
-        ServerList.Names names, ServerList known, Settings settings) {
+/** The platform's JSON, as GW_CONFIG names it; the variables GW_MGMT and TMPDIR add to it. */
+public record PlatformFile(Path file, Map<String, String> environment) implements ConfigSource {
 
-    private static final String MGMT_VARIABLE = "GW_MGMT";
+    private static final String DOOR_VARIABLE = "GW_MGMT";
     private static final String FOLDER_VARIABLE = "TMPDIR";
 
-    /** Reads file and environment; anything missing or bad is an exception that names field and value. */
-    public static SidecarConfig read(Path file, Map<String, String> environment) throws IOException {
+    @Override
+    public Loaded load() throws IOException {
+        EdgeConfig config = read();
+        return new Loaded(config, PlatformValues.of(this, config));
+    }
+
+    private EdgeConfig read() throws IOException {
+        byte[] bytes;
         try {
-            if (!(Json.value(Files.readAllBytes(file)) instanceof Map<?, ?> config)) {
-                throw new IllegalArgumentException(file + " holds no JSON object");
-            }
-            return of(config, environment);
+            bytes = Files.readAllBytes(file);
         } catch (NoSuchFileException e) {
-            throw new IllegalArgumentException("GW_CONFIG names a file that is not there: " + file, e);
+            throw whole(0, "GW_CONFIG names a file that is not there");
+        }
+        try {
+            if (!(Json.value(bytes) instanceof Map<?, ?> config)) {
+                throw whole(1, "it holds no JSON object");
+            }
+            return of(config);
         } catch (JsonProcessingException e) {
-            throw new IllegalArgumentException(file + " is not JSON: " + e.getOriginalMessage(), e);
+            throw whole(e.getLocation().getLineNr(), "it is not JSON: " + e.getOriginalMessage());
+        } catch (ServerList.BadField e) {
+            throw new ConfigException(List.of(new Problem(file, JsonLines.line(bytes, e.field()), e.field(),
+                e.value(), e.getMessage())));
+        } catch (IllegalArgumentException e) {
+            throw e instanceof ConfigException ? e : whole(0, e.getMessage());
         }
     }
 
-    private static SidecarConfig of(Map<?, ?> config, Map<String, String> environment) {
+    private ConfigException whole(int line, String why) {
+        return new ConfigException(List.of(new Problem(file, line, "", null, why)));
+    }
+
+    private EdgeConfig of(Map<?, ?> config) {
         Map<String, Object> settings = object("settings", config.get("settings"));
         Map<String, Object> limits = object("settings.limits", settings.get("limits"));
         object("settings.rules", settings.get("rules"));
@@ -55,38 +60,30 @@
         positive("settings.limits.try-limit", limits.get("try-limit"));
         ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
-        return new SidecarConfig(String.valueOf(config.get("name")),
-            ServerList.address("listen", config.get("listen")), mgmt(config.get("mgmt"), environment),
+        return new EdgeConfig(String.valueOf(config.get("name")),
+            List.of(ServerList.address("listen", config.get("listen"))), door(config.get("mgmt")),
             ServerList.address("discovery", config.get("discovery")), folder(environment),
             seed(config.get("seed")), positive("limits.memory_mb", limit(config, "memory_mb")),
             (int) positive("limits.sockets", limit(config, "sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
-            ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings));
+            ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings),
+            LogSettings.USUAL);
     }
 
     private static Object limit(Map<?, ?> config, String name) {
         return object("limits", config.get("limits")).get(name);
     }
 
-    /** A file of this sidecar's own, which its next process finds as well. */
-    public Path kept(String what) {
-        return folder.resolve(name.replaceAll("[^A-Za-z0-9._-]", "_") + "." + what);
-    }
-
-    /** The names of the classes, in the order of the settings. */
-    public List<String> classNames() {
-        return settings.classes().stream().map(RequestClass::name).toList();
-    }
-
-    private static InetSocketAddress mgmt(Object value, Map<String, String> environment) {
-        String variable = environment.getOrDefault(MGMT_VARIABLE, "");
+    private InetSocketAddress door(Object value) {
+        String variable = environment.getOrDefault(DOOR_VARIABLE, "");
         if (value != null) {
             return ServerList.address("mgmt", value);
         }
-        return variable.isBlank() ? null : ServerList.address(MGMT_VARIABLE, variable);
+        return variable.isBlank() ? null : ServerList.address(DOOR_VARIABLE, variable);
     }
 
-    private static Path folder(Map<String, String> environment) {
+    /** Where what outlives the process is kept, unless a file says otherwise. */
+    static Path folder(Map<String, String> environment) {
         String named = environment.getOrDefault(FOLDER_VARIABLE, "");
         return Path.of(named.isBlank() ? System.getProperty("java.io.tmpdir") : named);
     }
--- a/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
+++ b/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
@@ -26,7 +26,7 @@
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
 import lemonrail.net.Sockets;
 
 /**
@@ -50,7 +50,7 @@
 
     private final EventLoop loop;
     private final ServerList.Names names;
-    private final Complaints complaints;
+    private final EventLog log;
     private final Bootstrap bootstrap;
     private Listener listener;
     private InetSocketAddress address;
@@ -62,11 +62,11 @@
 
     /** A client of the discovery at this address; {@link #listen} comes before {@link #watch}. */
     public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
-            Complaints complaints) {
+            EventLog log) {
         this.loop = loop;
         this.address = address;
         this.names = names;
-        this.complaints = complaints;
+        this.log = log.in("discovery");
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
@@ -137,7 +137,7 @@
     private void fail(Object why) {
         dropConnection();
         if (callEnded()) {
-            complaints.log("discovery failed", why);
+            log.trouble("discovery_failed", "discovery failed", why, "address", address);
             listener.failed();
         }
     }
--- a/edge/src/main/java/lemonrail/discovery/ServerList.java
+++ b/edge/src/main/java/lemonrail/discovery/ServerList.java
@@ -106,7 +106,31 @@
 
     /** Says that this field holds no value that could be used. */
     public static IllegalArgumentException bad(String field, Object value) {
-        return new IllegalArgumentException("field " + field
-            + (value == null ? " is missing" : " is not usable: " + value));
+        return new BadField(field, value);
+    }
+
+    /** A field that is missing or cannot be used. */
+    public static final class BadField extends IllegalArgumentException {
+
+        private static final long serialVersionUID = 1;
+
+        private final String field;
+        private final String value;
+
+        BadField(String field, Object value) {
+            super("field " + field + (value == null ? " is missing" : " is not usable: " + value));
+            this.field = field;
+            this.value = value == null ? null : String.valueOf(value);
+        }
+
+        /** The field's path. */
+        public String field() {
+            return field;
+        }
+
+        /** What it holds, or null where it is missing. */
+        public String value() {
+            return value;
+        }
     }
 }
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lemonrail.core.Contract.Actions;
@@ -21,7 +22,7 @@
 import lemonrail.core.policy.Decide;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.discovery.ServerList;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
 import lemonrail.streaming.Budget;
 import lemonrail.streaming.Pipe;
 import lemonrail.suspension.Suspensions;
@@ -100,7 +101,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Complaints complaints;
+    private final EventLog log;
     private final Upstream<M, A> endpoints;
     private final Budget budget;
     /** Begins a watch on discovery. */
@@ -125,7 +126,7 @@
             ServerList known, Runnable watch) {
         this.loop = shard.loop();
         this.clock = shard.clock();
-        this.complaints = shard.complaints();
+        this.log = shard.log().in("exchange");
         this.endpoints = endpoints;
         this.budget = shard.budget();
         this.watch = watch;
@@ -185,21 +186,22 @@
         if (open != null && open.stream != null) {
             giveUp(open, open.stream, Outcome.CANCELED);
         } else if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "client_gone");
             raise(open, now -> module.onClientGone(now, id));
         }
     }
 
     private void overdue(Open<M, A> open) {
         if (!open.concluded) {
-            complaints.log("no decision by the deadline", open.request.id());
+            log.trouble("no_decision", "no decision by the deadline", open.request.id(),
+                "request_id", open.request.id());
             abandon(open);
         }
     }
 
     /** Fails a request without the module, and lets the module know that it owes nothing any more. */
     private void abandon(Open<M, A> open) {
-        conclude(open);
+        conclude(open, "abandoned");
         open.client.failed();
         raise(open, now -> module.onClientGone(now, open.request.id()));
     }
@@ -257,7 +259,7 @@
         try {
             event.tell(clock.now());
         } catch (RuntimeException e) {
-            complaints.bug("the decision module failed", e);
+            log.bug("the decision module failed", e);
             if (open != null && !open.concluded && open.out == 0) {
                 abandon(open);
             }
@@ -275,7 +277,7 @@
     public void send(String id, String server, double timeoutMs) {
         Open<M, A> open = table.get(id);
         if (open == null) {
-            complaints.log("an attempt for a request that is not open", id);
+            log.trouble("attempt_unknown", "an attempt for a request that is not open", id, "request_id", id);
             return;
         }
         double now = clock.now();
@@ -299,7 +301,7 @@
                     new AttemptEnding(open, made, wait));
             } catch (RuntimeException e) {
                 // How far it came is not known, so it may have run; the module must hear of its end.
-                complaints.bug("sending failed", e);
+                log.bug("sending failed", e);
                 end(open, made, Outcome.RESET);
             }
         }
@@ -308,10 +310,10 @@
     /** Passes an answer on where it is the last word on its request. */
     private void pass(Open<M, A> open, Outcome outcome, A answer) {
         if (outcome == Outcome.OK) {
-            conclude(open);
+            conclude(open, "served");
             open.client.served(answer);
         } else if (outcome == Outcome.IGNORED) {
-            conclude(open);
+            conclude(open, "turned_away");
             open.client.turnedAway(answer);
         }
     }
@@ -347,7 +349,7 @@
                 loop.execute(() -> giveUp(open, made, Outcome.CANCELED));
                 return;
             }
-            conclude(open);
+            conclude(open, "streaming");
             open.stream = made;
             made.timeout = after(ANSWER_STALL_MS, () -> mindStream(open, made, body, 0));
             raise(open, now -> module.onStreamStarted(now, open.request.id(), made.number));
@@ -403,6 +405,10 @@
             made.timeout.cancel(false);
         }
         double took = made.firstBytesMs >= 0 ? made.firstBytesMs : clock.now() - made.sentAt;
+        if (log.tellsAll()) {
+            tell("attempt_ended", open, "endpoint", made.server, "attempt", made.number, "outcome",
+                outcome.name().toLowerCase(Locale.ROOT), "took_ms", took);
+        }
         if (open.stream == made) {
             open.stream = null;
         }
@@ -413,8 +419,24 @@
         });
     }
 
-    private void conclude(Open<M, A> open) {
+    /** Tells of a request, of which there are many. */
+    private void tell(String event, Open<M, A> open, Object... fields) {
+        List<Object> all = new ArrayList<>(List.of("request_id", open.request.id(), "class",
+            settings.classes().get(open.request.requestClass()).name()));
+        all.addAll(List.of(fields));
+        StringBuilder line = new StringBuilder(event);
+        for (int i = 0; i + 1 < all.size(); i += 2) {
+            line.append(' ').append(all.get(i)).append('=').append(all.get(i + 1));
+        }
+        log.debug(event, line.toString(), all.toArray());
+    }
+
+    private void conclude(Open<M, A> open, String how) {
         open.concluded = true;
+        if (log.tellsAll()) {
+            tell("request_concluded", open, "outcome", how, "attempts", open.tries.size(), "took_ms",
+                clock.now() - open.deadline + open.waitMs);
+        }
         if (open.overdue != null) {
             open.overdue.cancel(false);
         }
@@ -429,7 +451,7 @@
     public void refuse(String id, double coolDownMs) {
         Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "refused");
             open.client.refused(coolDownMs);
         }
     }
@@ -438,7 +460,7 @@
     public void fail(String id) {
         Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "failed");
             open.client.failed();
         }
     }
@@ -468,7 +490,7 @@
 
     @Override
     public void log(String line) {
-        complaints.say(line);
+        log.info("balancer_report", line);
     }
 
     private Future<?> after(double ms, Runnable task) {
--- a/edge/src/main/java/lemonrail/exchange/Shard.java
+++ b/edge/src/main/java/lemonrail/exchange/Shard.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import lemonrail.core.Contract.Settings;
 import lemonrail.lifecycle.Lifecycle;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
 import lemonrail.metrics.Metrics;
 import lemonrail.streaming.Budget;
 import lemonrail.time.Clock;
@@ -13,6 +13,6 @@
  *
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
-public record Shard(EventLoop loop, Clock clock, Complaints complaints, Metrics metrics, Budget budget,
+public record Shard(EventLoop loop, Clock clock, EventLog log, Metrics metrics, Budget budget,
         Lifecycle lifecycle, Settings settings, double idleCloseMs) {
 }
--- a/edge/src/main/java/lemonrail/http1/EndpointPool.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointPool.java
@@ -26,7 +26,7 @@
 import lemonrail.discovery.ServerList;
 import lemonrail.exchange.Shard;
 import lemonrail.exchange.Upstream;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
 import lemonrail.metrics.Metrics;
 import lemonrail.net.Sockets;
 import lemonrail.streaming.Budget;
@@ -84,7 +84,7 @@
     }
 
     private final Clock clock;
-    private final Complaints complaints;
+    private final EventLog log;
     private final Bootstrap bootstrap;
     private final double idleMs;
     private final Metrics metrics;
@@ -98,7 +98,7 @@
 
     EndpointPool(Shard shard, int most) {
         clock = shard.clock();
-        complaints = shard.complaints();
+        log = shard.log().in("http1");
         metrics = shard.metrics();
         budget = shard.budget();
         this.most = most;
@@ -198,9 +198,9 @@
         if (connection != null) {
             connection.write(attempt);
         } else if (endpoint == null || endpoint.address == null) {
-            refuse(attempt, "no address is known of " + id);
+            refuse(attempt, id, "no address is known of " + id);
         } else if (!hasRoom()) {
-            refuse(attempt, "all " + most + " connections to endpoints are busy");
+            refuse(attempt, id, "all " + most + " connections to endpoints are busy");
         } else {
             new Connection(endpoint).open(attempt);
         }
@@ -226,8 +226,8 @@
         return found;
     }
 
-    private void refuse(OneAttempt attempt, String why) {
-        complaints.log("no connection", why);
+    private void refuse(OneAttempt attempt, String id, String why) {
+        log.trouble("no_connection", "no connection", why, "endpoint", id);
         attempt.end(Outcome.CONNECT_ERROR, null);
     }
 
@@ -448,7 +448,7 @@
             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                 // A reset is an everyday end of an attempt and told as such; the rest operators should see.
                 if (!(cause instanceof java.io.IOException)) {
-                    complaints.bug("connection to an endpoint", cause);
+                    log.bug("connection to an endpoint", cause);
                 }
                 close();
             }
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -18,7 +18,7 @@
 import lemonrail.exchange.Front;
 import lemonrail.exchange.Shard;
 import lemonrail.lifecycle.Lifecycle;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
 import lemonrail.metrics.Metrics;
 import lemonrail.net.Sockets;
 import lemonrail.streaming.Budget;
@@ -40,7 +40,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Complaints complaints;
+    private final EventLog log;
     private final Exchange<RequestMessage, Answer> exchange;
     private final Lifecycle lifecycle;
     private final Metrics metrics;
@@ -61,7 +61,7 @@
     Frontend(Shard shard, Exchange<RequestMessage, Answer> exchange, int most) {
         loop = shard.loop();
         clock = shard.clock();
-        complaints = shard.complaints();
+        log = shard.log().in("http1");
         lifecycle = shard.lifecycle();
         metrics = shard.metrics();
         budget = shard.budget();
@@ -185,7 +185,8 @@
     private void mindAccepting() {
         boolean room = connections.size() < most + OVERFLOW;
         if (!room) {
-            complaints.log("no more connections are taken in", connections.size() + " are open");
+            log.trouble("accept_paused", "no more connections are taken in",
+                connections.size() + " are open", "connections", connections.size());
         }
         listener.config().setAutoRead(room);
     }
@@ -266,13 +267,14 @@
 
     /** A client has sent what is no request, or not in time. */
     void refused(RequestReader.Refusal refusal) {
-        complaints.log("a client is refused", refusal.status().code() + " " + refusal.why());
+        log.trouble("client_refused", "a client is refused",
+            refusal.status().code() + " " + refusal.why(), "status", refusal.status().code());
     }
 
     /** Clients come and go; only what is not the network's doing is worth a line. */
     void troubled(Throwable cause) {
         if (!(cause instanceof IOException)) {
-            complaints.bug("connection of a client", cause);
+            log.bug("connection of a client", cause);
         }
     }
 }
--- a/edge/src/main/java/lemonrail/http1/Warmup.java
+++ b/edge/src/main/java/lemonrail/http1/Warmup.java
@@ -39,7 +39,8 @@
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Shard;
 import lemonrail.lifecycle.Lifecycle;
-import lemonrail.logging.Complaints;
+import lemonrail.logging.EventLog;
+import lemonrail.logging.TextSink;
 import lemonrail.metrics.Metrics;
 import lemonrail.net.Sockets;
 import lemonrail.streaming.Budget;
@@ -107,7 +108,7 @@
 
     private void startSidecar(InetSocketAddress at) {
         Clock clock = new Clock();
-        Complaints silent = new Complaints(clock, new PrintStream(OutputStream.nullOutputStream()));
+        EventLog silent = new EventLog(clock, new TextSink(new PrintStream(OutputStream.nullOutputStream())));
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", shard.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
         Metrics metrics = new Metrics(shard.settings().classes().stream().map(RequestClass::name).toList());
@@ -115,7 +116,7 @@
             new Lifecycle(() -> true), shard.settings(), shard.idleCloseMs());
         pool = new EndpointPool(own, MOST_CONNECTIONS);
         Exchange<RequestMessage, Answer> exchange = new Exchange<>(own, pool,
-            new Suspensions(scratch, silent::say), 0, list, () -> { });
+            new Suspensions(scratch, silent), 0, list, () -> { });
         frontend = new Frontend(own, exchange, MOST_CONNECTIONS);
         ChannelFuture bound = frontend.listen(ephemeral());
         bound.addListener(up -> {
--- /dev/null
+++ b/edge/src/main/java/lemonrail/logging/StructuredSink.java
@@ -0,0 +1,97 @@
+package lemonrail.logging;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.core.OutputStreamAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import java.io.OutputStream;
+import java.time.Instant;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * The log through Logback: readable text with time and level, or one JSON object a line.
+ */
+final class StructuredSink implements LogSink {
+
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSX,UTC} %-5level %logger{0}: %msg%n";
+    private static final Level[] LEVELS = {Level.DEBUG, Level.INFO, Level.WARN, Level.ERROR};
+
+    private final LoggerContext context;
+    private final Logger root;
+
+    /** A log to this stream, at these levels by logger; {@link EventLog#ROOT} is the one above all. */
+    StructuredSink(OutputStream out, LogSettings.Format format, Map<String, Severity> levels) {
+        context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        context.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.WARN);
+        root = context.getLogger(EventLog.ROOT);
+        root.setAdditive(false);
+        root.setLevel(Level.INFO);
+        levels.forEach(this::level);
+        Encoder<ILoggingEvent> encoder = format == LogSettings.Format.JSON ? new JsonEncoder() : text();
+        encoder.setContext(context);
+        encoder.start();
+        OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
+        appender.setContext(context);
+        appender.setEncoder(encoder);
+        appender.setOutputStream(out);
+        appender.start();
+        root.addAppender(appender);
+        context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(appender);
+    }
+
+    private static Encoder<ILoggingEvent> text() {
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setPattern(PATTERN);
+        return encoder;
+    }
+
+    @Override
+    public boolean takes(Severity severity, String logger) {
+        return context.getLogger(logger).isEnabledFor(LEVELS[severity.ordinal()]);
+    }
+
+    @Override
+    public void write(LogEvent event) {
+        Logger logger = context.getLogger(event.logger());
+        LoggingEvent made = new LoggingEvent(StructuredSink.class.getName(), logger,
+            LEVELS[event.severity().ordinal()], event.message(), null, null);
+        made.setInstant(Instant.ofEpochMilli((long) event.atMs()));
+        made.addKeyValuePair(new KeyValuePair("event", event.name()));
+        List<Object> fields = event.fields();
+        for (int i = 0; i + 1 < fields.size(); i += 2) {
+            made.addKeyValuePair(new KeyValuePair(String.valueOf(fields.get(i)), fields.get(i + 1)));
+        }
+        logger.callAppenders(made);
+    }
+
+    @Override
+    public void level(String logger, Severity severity) {
+        context.getLogger(logger).setLevel(LEVELS[severity.ordinal()]);
+    }
+
+    @Override
+    public Map<String, String> levels() {
+        Map<String, String> set = new TreeMap<>();
+        for (Logger logger : context.getLoggerList()) {
+            if (logger.getLevel() != null && logger.getName().startsWith(EventLog.ROOT)) {
+                set.put(logger.getName(), logger.getLevel().toString().toLowerCase(Locale.ROOT));
+            }
+        }
+        return set;
+    }
+
+    @Override
+    public void close() {
+        context.stop();
+    }
+}
--- a/edge/src/main/java/lemonrail/suspension/Suspensions.java
+++ b/edge/src/main/java/lemonrail/suspension/Suspensions.java
@@ -14,6 +14,7 @@
 import lemonrail.core.Contract.ListKind;
 import lemonrail.core.Contract.Server;
 import lemonrail.core.Contract.State;
+import lemonrail.logging.EventLog;
 
 /**
  * The endpoints that operators have taken out by hand, laid over discovery's list: whatever discovery says of
@@ -28,7 +29,7 @@
     private static final int MOST_SUSPENDED = 1024;
 
     private final SuspensionFile file;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final Map<String, Server> listed = new LinkedHashMap<>();
     private final Set<String> everListed = new LinkedHashSet<>();
     private Set<String> suspended = new LinkedHashSet<>();
@@ -36,9 +37,9 @@
     private SuspensionFile.Stamp read = SuspensionFile.Stamp.ABSENT;
 
     /** The suspensions that this file keeps, which need not be there; a damaged one counts as empty. */
-    public Suspensions(Path kept, Consumer<String> log) {
+    public Suspensions(Path kept, EventLog log) {
         file = new SuspensionFile(kept);
-        this.log = log;
+        this.log = log.in("suspension");
         refresh();
     }
 
@@ -127,10 +128,12 @@
             List<String> out = changed.stream().filter(suspended::contains).toList();
             List<String> back = changed.stream().filter(id -> !suspended.contains(id)).toList();
             if (!out.isEmpty()) {
-                log.accept("suspended by another process: " + out);
+                log.info("suspended", "suspended by another process: " + out, "by", "other_process",
+                    "endpoint", out);
             }
             if (!back.isEmpty()) {
-                log.accept("resumed by another process: " + back);
+                log.info("resumed", "resumed by another process: " + back, "by", "other_process",
+                    "endpoint", back);
             }
             return changed;
         } catch (IOException e) {
@@ -142,7 +145,7 @@
     /** It is tried again each time, and told once. */
     private void complain(String why) {
         if (!why.equals(complaint)) {
-            log.accept("suspensions stay as they were: " + why);
+            log.warn("suspensions_unreadable", "suspensions stay as they were: " + why);
         }
         complaint = why;
     }
--- a/edge/src/main/java/lemonrail/upgrade/Presence.java
+++ b/edge/src/main/java/lemonrail/upgrade/Presence.java
@@ -7,7 +7,7 @@
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.function.Consumer;
+import lemonrail.logging.EventLog;
 
 /**
  * Tells whether another process of the same sidecar runs beside this one, as during an upgrade: each holds a
@@ -19,20 +19,20 @@
     /** Processes that can be told apart; an upgrade has two. */
     private static final int MOST_PROCESSES = 8;
 
-    private final Consumer<String> log;
+    private final EventLog log;
     private FileChannel channel;
     private int own = -1;
 
     /** Takes this process's place in the file; where that fails, the process counts as alone. */
-    public Presence(Path places, Consumer<String> log) {
-        this.log = log;
+    public Presence(Path places, EventLog log) {
+        this.log = log.in("upgrade");
         try {
             channel = FileChannel.open(places, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             for (int i = 0; i < MOST_PROCESSES && own < 0; i++) {
                 own = lock(i) == null ? -1 : i;
             }
         } catch (IOException e) {
-            log.accept("cannot tell of other processes of this sidecar: " + e);
+            log.trouble("presence_unknown", "cannot tell of other processes of this sidecar", e);
         }
     }
 
@@ -61,7 +61,7 @@
                 }
             }
         } catch (IOException e) {
-            log.accept("cannot tell of other processes of this sidecar: " + e);
+            log.trouble("presence_unknown", "cannot tell of other processes of this sidecar", e);
         }
         return false;
     }
--- a/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
+++ b/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
@@ -121,7 +121,7 @@
             }
         }
         expected.putAll(Map.of("dispatches", 0L, "concurrent", 0L, "targets", 1L, "targets_disabled", 0L,
-            "reload_success", 0L, "reload_failure", 0L));
+            "reload_success", 0L, "reload_failure", 0L, "log_dropped", 0L, "log_suppressed", 0L));
         assertEquals(expected, figures());
     }
 
--- a/edge/src/test/java/lemonrail/assembly/SidecarConfigTest.java
+++ b/edge/src/test/java/lemonrail/assembly/PlatformFileTest.java
@@ -8,29 +8,30 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import lemonrail.config.SidecarConfig;
+import lemonrail.config.EdgeConfig;
+import lemonrail.config.PlatformFile;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The configuration: what is right is read, what is not is named. */
-class SidecarConfigTest {
+class PlatformFileTest {
 
     @TempDir
     Path folder;
 
-    private SidecarConfig read(String part, String instead) throws IOException {
+    private EdgeConfig read(String part, String instead) throws IOException {
         try (Fake endpoint = Fake.answering(200, "", ""); Rig rig = new Rig(endpoint)) {
             assertTrue(rig.config().contains(part), part);
-            return SidecarConfig.read(Files.writeString(folder.resolve("config.json"),
-                rig.config().replace(part, instead)), Map.of());
+            return new PlatformFile(Files.writeString(folder.resolve("config.json"),
+                rig.config().replace(part, instead)), Map.of()).load().config();
         }
     }
 
     @Test
     void whatItHoldsIsRead() throws IOException {
-        SidecarConfig config = read("", "");
+        EdgeConfig config = read("", "");
         assertEquals(0x8c1f30d27a5be964L, config.seed());
         assertEquals(1024, config.sockets());
         assertEquals(15_000, config.idleCloseMs());
@@ -61,7 +62,7 @@
     void aFileThatIsNoJsonIsNamed() throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), "{\"name\":");
         IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-            () -> SidecarConfig.read(file, Map.of()));
-        assertTrue(e.getMessage().contains(file + " is not JSON"), e.getMessage());
+            () -> new PlatformFile(file, Map.of()).load());
+        assertTrue(e.getMessage().contains(file + ":1: it is not JSON"), e.getMessage());
     }
 }
--- a/edge/src/test/java/lemonrail/assembly/Rig.java
+++ b/edge/src/test/java/lemonrail/assembly/Rig.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import lemonrail.config.PlatformFile;
 import lemonrail.http1.Http1;
+import lemonrail.logging.TextSink;
 
 /** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
 final class Rig implements Closeable {
@@ -74,9 +76,10 @@
     Rig start() throws IOException {
         configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
         folder = folder == null ? Files.createTempDirectory("sidecar") : folder;
-        sidecar = Sidecar.create(new Http1(), configFile,
-            Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0"),
-            new PrintStream(log, true, StandardCharsets.UTF_8));
+        PlatformFile source = new PlatformFile(configFile,
+            Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0"));
+        sidecar = Sidecar.create(new Http1(), source, source.load(),
+            new TextSink(new PrintStream(log, true, StandardCharsets.UTF_8)));
         sidecar.open();
         return this;
     }
--- a/edge/src/test/java/lemonrail/benchlink/BenchLinkTest.java
+++ b/edge/src/test/java/lemonrail/benchlink/BenchLinkTest.java
@@ -54,7 +54,7 @@
     }
 
     private int run(String... lines) throws IOException {
-        return Main.run(new String[] {"benchlink"},
+        return Main.benchlink(
             new ByteArrayInputStream(String.join("", lines).getBytes(StandardCharsets.UTF_8)), out,
             new PrintStream(errors, true, StandardCharsets.UTF_8));
     }
@@ -169,14 +169,4 @@
         assertEquals(1, run(batch("{\"kind\":\"Spawn\",\"init-seed\":1,\"params\":{}}")));
         assertTrue(errors.toString(StandardCharsets.UTF_8).contains("setting "));
     }
-
-    @Test
-    void aWrongCommandLineGetsTheUsage() throws IOException {
-        for (String[] args : new String[][] {{}, {"other"}, {"benchlink", "more"}}) {
-            errors.reset();
-            assertEquals(2, Main.run(args, new ByteArrayInputStream(new byte[0]), out,
-                new PrintStream(errors, true, StandardCharsets.UTF_8)));
-            assertTrue(errors.toString(StandardCharsets.UTF_8).startsWith("usage: "));
-        }
-    }
 }
--- a/edge/src/test/java/lemonrail/cli/MainTest.java
+++ b/edge/src/test/java/lemonrail/cli/MainTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -83,8 +82,9 @@
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
         try (BufferedReader log = process.inputReader()) {
             List<String> lines = log.lines().toList();
-            assertEquals(List.of("lemonrail: field limits.sockets is not usable: many"), lines);
-            assertTrue(process.waitFor() > 0);
+            assertEquals(List.of("lemonrail: " + folder.resolve("config.json")
+                + ":2: limits.sockets = many: field limits.sockets is not usable: many"), lines);
+            assertEquals(2, process.waitFor());
         } finally {
             process.destroyForcibly();
         }
