--- /dev/null
+++ b/edge/src/test/java/lemonrail/frames/FrameFront.java
@@ -0,0 +1,179 @@
+package lemonrail.frames;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import lemonrail.core.Contract.Request;
+import lemonrail.exchange.Client;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Front;
+import lemonrail.exchange.Shard;
+import lemonrail.streaming.Pipe;
+
+/**
+ * Clients of the test's protocol: one request at a time on a connection, as {@code id|class|deadline|text}.
+ */
+final class FrameFront implements Front {
+
+    private final Shard shard;
+    private final Exchange<FrameMessage, Frame> exchange;
+    private final Set<Connection> connections = new LinkedHashSet<>();
+    private int most;
+    private Channel listener;
+    private boolean leaving;
+    private double endsAt = Double.POSITIVE_INFINITY;
+
+    FrameFront(Shard shard, Exchange<FrameMessage, Frame> exchange, int most) {
+        this.shard = shard;
+        this.exchange = exchange;
+        this.most = most;
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<Frame> implements Client<Frame> {
+        private Channel channel;
+        private String open;
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            connections.add(this);
+            if (connections.size() > most) {
+                answer(new Frame('R', "0"));
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+            String[] parts = frame.text().split("\\|", 4);
+            int kind = shard.settings().classes().stream().map(c -> c.name()).toList().indexOf(parts[1]);
+            if (open != null || kind < 0 || exchange.has(parts[0])) {
+                answer(new Frame('B', "no request"));
+                return;
+            }
+            open = parts[0];
+            double now = shard.clock().now();
+            exchange.request(new Request(open, kind, 0,
+                Math.min(endsAt, now + Double.parseDouble(parts[2])), false),
+                new FrameMessage(open, parts[3]), this);
+        }
+
+        private void answer(Frame frame) {
+            open = null;
+            ChannelFuture written = channel.writeAndFlush(frame);
+            if (leaving) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void served(Frame answer) {
+            answer(answer);
+        }
+
+        @Override
+        public void streaming(Frame beginning, Pipe body) {
+            throw new IllegalStateException("this protocol has no large answers");
+        }
+
+        @Override
+        public void turnedAway(Frame answer) {
+            answer(answer);
+        }
+
+        @Override
+        public void refused(double coolDownMs) {
+            answer(new Frame('R', String.valueOf(coolDownMs)));
+        }
+
+        @Override
+        public void failed() {
+            answer(new Frame('F', ""));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(this);
+            if (open != null) {
+                exchange.clientGone(open);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(shard.loop()).channel(NioServerSocketChannel.class)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel fresh) {
+                    Frame.addTo(fresh.pipeline());
+                    fresh.pipeline().addLast(new Connection());
+                }
+            }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    @Override
+    public void bound(int connectionsAtOnce) {
+        most = connectionsAtOnce;
+    }
+
+    @Override
+    public void endAfter(double leftMs) {
+        endsAt = shard.clock().now() + leftMs;
+    }
+
+    @Override
+    public void closeListener() {
+        listener.close();
+    }
+
+    @Override
+    public void leave() {
+        closeListener();
+        leaving = true;
+    }
+
+    @Override
+    public void finish() {
+        leaving = true;
+        List.copyOf(connections).stream().filter(connection -> connection.open == null)
+            .forEach(connection -> connection.channel.close());
+    }
+
+    @Override
+    public void drain() {
+        finish();
+    }
+
+    @Override
+    public void activate() {
+        leaving = false;
+    }
+
+    @Override
+    public void close() {
+        closeListener();
+        finish();
+    }
+
+    @Override
+    public boolean isEmpty() {
+        return connections.isEmpty();
+    }
+}
