Add the demo: an edge before stand-in endpoints, a steady trickle and a live table

Need: a new user who followed the README could not start anything.

Change: `./lemonrail demo` starts stand-in endpoints and one edge in a process of the lab, by the classes and limits of the example file, sends an open-loop trickle over kept connections, and shows served, refused, failed, retried and each endpoint's requests; now and then one endpoint fails or falls silent. `--for 10s` ends it with a summary and status 0 if each request had exactly one answer.

--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -366,8 +366,8 @@
         return loop;
     }
 
-    /** Where clients connect. */
-    InetSocketAddress address() {
+    /** Where clients connect, at the first listener. */
+    public InetSocketAddress address() {
         return addresses.get(0);
     }
 
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/DemoCall.java
@@ -0,0 +1,76 @@
+package lemonrail.lab;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.format.DateTimeParseException;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The first minute of a new user. */
+@Command(name = "demo", description = {
+    "Run an edge before stand-in endpoints on this machine and show what it does.",
+    "Now and then one endpoint fails or falls silent: watch the edge send its requests elsewhere."})
+final class DemoCall implements Callable<Integer> {
+
+    private static final int MOST_RATE = 2000;
+
+    @Option(names = {"-c", "--config"}, paramLabel = "FILE",
+        defaultValue = "${sys:lemonrail.home:-.}/deploy/lemonrail.toml",
+        description = "the operators' file to take classes and limits from; its addresses are not used "
+            + "(the example in deploy)")
+    private Path config;
+    @Option(names = "--for", paramLabel = "TIME", converter = Time.class,
+        description = "end by itself after this time, as in 10s or 2m; until interrupted if not given")
+    private Duration length;
+    @Option(names = "--rate", defaultValue = "40", description = "requests a second (${DEFAULT-VALUE})")
+    private int rate;
+    @Option(names = "--endpoints", defaultValue = "3", description = "stand-in endpoints (${DEFAULT-VALUE})")
+    private int endpoints;
+    @Option(names = "--seed", defaultValue = "1",
+        description = "for what the endpoints take and when they are in trouble (${DEFAULT-VALUE})")
+    private long seed;
+    @Option(names = "--calm", description = "no endpoint fails or falls silent")
+    private boolean calm;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        if (rate < 1 || rate > MOST_RATE) {
+            throw new IllegalArgumentException("--rate = " + rate + ": must be from 1 to " + MOST_RATE);
+        }
+        if (endpoints < 1 || endpoints > 32) {
+            throw new IllegalArgumentException("--endpoints = " + endpoints + ": must be from 1 to 32");
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        try (Demo demo = new Demo(config, rate, endpoints, seed, calm, out, System.console() != null)) {
+            Thread interrupted = new Thread(demo::finish, "summary");
+            Runtime.getRuntime().addShutdownHook(interrupted);
+            demo.run(length == null ? Duration.ofDays(1) : length);
+            demo.finish();
+            return demo.isSound() ? 0 : 1;
+        }
+    }
+
+    /** Times as in the operators' file. */
+    static final class Time implements CommandLine.ITypeConverter<Duration> {
+        @Override
+        public Duration convert(String text) {
+            try {
+                Duration time = Duration.parse("PT" + text.toUpperCase(Locale.ROOT));
+                if (!time.isNegative() && !time.isZero()) {
+                    return time;
+                }
+            } catch (DateTimeParseException e) {
+                // It is no time, which is said below.
+            }
+            throw new CommandLine.TypeConversionException("'" + text + "' must be a time as in 10s or 2m");
+        }
+    }
+}
