Split the decisions by concern: eleven files in place of one class

Change: slots and ranks (Slot, Target, Ranks, Locality, Pool), cold budgets (Cold), health and trials (Health), limits and refusals (Limit), retries (Retries), and the calls themselves (Call, Decide). What decides nothing and later deciders need as well goes to core with tests of its own: TokenBucket, StableHash, Ring, AnswerTimes, and a few questions that the contract's own records can answer (Rules.warmth, Group.holds, Server.with).

--- a/core/src/main/java/lemonrail/core/Contract.java
+++ b/core/src/main/java/lemonrail/core/Contract.java
@@ -23,7 +23,14 @@
     }
 
     /** Which servers drop the repeats of a {@link Effect#BY_KEY} request. */
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL, ZONE, CELL;
+
+        /** Whether both servers are of one such group. */
+        public boolean holds(Server one, Server other) {
+            return this == ALL || (this == ZONE ? one.zone() == other.zone() : one.cell() == other.cell());
+        }
+    }
 
     /** What discovery says of a server. */
     public enum State { GONE, READY, DRAINING }
@@ -58,6 +65,11 @@
                 positive("classes[].window", windowMs);
             }
         }
+
+        /** Whether a request that may have run may still be refused, which calls a repeat harmless. */
+        public boolean refusableAfterRun() {
+            return effect == Effect.REPEATABLE || effect == Effect.BY_KEY && group == Group.ALL;
+        }
     }
 
     /** A tenant: its allowance a second over all balancers, and its share of the service. */
@@ -95,6 +107,12 @@
             notNegative("rules.drainGrace", drainGraceMs);
             positive("rules.askWithin", askWithinMs);
         }
+
+        /** The share of its full work that a server can surely do: it grows evenly from its start on. */
+        public double warmth(double now, double startedMs) {
+            return startedMs <= 0 || coldMs <= 0 || now - startedMs >= coldMs ? 1
+                : coldShare + (1 - coldShare) * Math.max(0, now - startedMs) / coldMs;
+        }
     }
 
     /** All that a balancer is told when it starts. */
@@ -116,6 +134,18 @@
                 throw new IllegalArgumentException("setting classes is empty: at least one is needed");
             }
         }
+
+        /** Refuses by name a request whose class or tenant these settings do not have. */
+        public void check(Request request) {
+            if (request.requestClass() < 0 || request.requestClass() >= classes.size()) {
+                throw new IllegalArgumentException("request " + request.id() + " is of class "
+                    + request.requestClass() + ", but the settings have " + classes.size());
+            }
+            if (request.tenant() < 0 || request.tenant() >= Math.max(1, tenants.size())) {
+                throw new IllegalArgumentException("request " + request.id() + " is of tenant "
+                    + request.tenant() + ", but the settings have " + tenants.size());
+            }
+        }
     }
 
     /** One line of discovery's list. A start time of 0 is the distant past. */
@@ -128,6 +158,11 @@
             finite("server.weight", weight);
             notNegative("server.weight", weight);
         }
+
+        /** The same server in another state. */
+        public Server with(State other) {
+            return new Server(id, zone, kind, cell, startedMs, other, weight);
+        }
     }
 
     /** A request from a client; the deadline is a time on the host's clock. */
--- /dev/null
+++ b/core/src/main/java/lemonrail/core/policy/Health.java
@@ -0,0 +1,160 @@
+package lemonrail.core.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import lemonrail.core.AnswerTimes;
+import lemonrail.core.Contract.*;
+
+/** The servers' health: who pauses after a failure, and who is on trial. */
+final class Health {
+
+    /** The share of a server's outcomes that may fail by chance, and the most doublings of its pause. */
+    private static final double FAILING_SHARE = 0.4;
+    private static final int MOST_DOUBLINGS = 5;
+    /** A server silent for so many of its usual gaps hangs: by chance that is 2 in 100. */
+    private static final double HANG_GAPS = 4;
+    /** A server's slowness is kept below this factor: more would rest on too few samples. */
+    private static final double SLOWEST = 8;
+
+    private final Pool pool;
+    private final double connectTimeoutMs;
+    private final List<Target> paused = new ArrayList<>();
+    /** Servers on trial. */
+    int ailing;
+    /** Since the last report: attempts that met a full server, and servers put on trial. */
+    int fullServers;
+    int ejections;
+
+    Health(Settings settings, Pool pool) {
+        this.pool = pool;
+        connectTimeoutMs = settings.limits().connectTimeoutMs();
+    }
+
+    /** Learns from how long a call has waited, with or without an answer. */
+    void waited(double now, Target target, AnswerTimes known, double tookMs) {
+        if (pool.cold.warmth(now, target) >= 1) {
+            target.slowness += Target.SERVER_GAIN
+                * (Math.min(tookMs / known.typicalMs(), SLOWEST) - target.slowness);
+            pool.reprice(now, target, false);
+        }
+    }
+
+    /** Takes in the end of an attempt on this slot. */
+    void judge(double now, Slot slot, Outcome outcome, boolean failed) {
+        Target target = slot.target;
+        boolean alive = learnConnection(slot, outcome);
+        if (alive) {
+            pool.drop(slot);
+            pause(now, target, connectTimeoutMs * 2);
+        } else if (failed && !blamedOnShared()) {
+            pool.drop(slot);
+            if (fails(target, outcome)) {
+                strike(now, target);
+            }
+            pool.offer(now, target);
+        } else if (outcome == Outcome.OK) {
+            target.failing -= Target.FAILING_GAIN * target.failing;
+            recover(now, target);
+        }
+        if (outcome == Outcome.QUEUE_FULL) {
+            fullServers++;
+            // It is crowded, not sick: no other slot is taken there for a while.
+            pool.drop(slot);
+            pause(now, target, connectTimeoutMs);
+        }
+    }
+
+    /** True if only the connect failed while other connections stand, which at first tells nothing. */
+    private boolean learnConnection(Slot slot, Outcome outcome) {
+        if (!slot.connected && outcome != Outcome.CANCELED && outcome != Outcome.IGNORED) {
+            pool.connected(outcome == Outcome.CONNECT_ERROR);
+        }
+        slot.connected = outcome == Outcome.OK || outcome == Outcome.FAILED || outcome == Outcome.QUEUE_FULL;
+        if (outcome == Outcome.OK) {
+            slot.target.connectFailed = false;
+        }
+        if (outcome != Outcome.CONNECT_ERROR || slot.target.connectFailed) {
+            return false;
+        }
+        slot.target.connectFailed = pool.hasOtherConnected(slot);
+        return slot.target.connectFailed;
+    }
+
+    /** When half of all servers look bad, something they share is: giving them up would leave none. */
+    private boolean blamedOnShared() {
+        return ailing * 2 > pool.ranks.ready;
+    }
+
+    /** A crowded server answers late, a hung one not at all, and fewer calls help only the first. */
+    boolean hangs(double now, Target target) {
+        return target.answerGapMs > 0 && now - target.lastAnswer > HANG_GAPS * target.answerGapMs
+            && !blamedOnShared();
+    }
+
+    /** One error may be by chance, whoever sends it; a time-out or a failed connect seldom is. */
+    private static boolean fails(Target target, Outcome outcome) {
+        target.failing += Target.FAILING_GAIN * (1 - target.failing);
+        return target.onTrial || outcome != Outcome.FAILED && outcome != Outcome.RESET
+            || target.failing > FAILING_SHARE;
+    }
+
+    /** A failure: the server pauses, longer each time; at the second in a row it loses all its slots. */
+    private void strike(double now, Target target) {
+        target.strikes = Math.min(target.strikes + 1, MOST_DOUBLINGS);
+        target.trialAnswers = 0;
+        if (!target.onTrial) {
+            target.onTrial = true;
+            ailing++;
+            ejections++;
+        }
+        pause(now, target, connectTimeoutMs * (1 << target.strikes));
+        if (target.strikes > 1) {
+            pool.dropAll(target);
+        }
+    }
+
+    private void pause(double now, Target target, double ms) {
+        if (target.pausedUntil <= now) {
+            paused.add(target);
+        }
+        target.pausedUntil = Math.max(target.pausedUntil, now + ms);
+        pool.offer(now, target);
+    }
+
+    private void recover(double now, Target target) {
+        if (!target.onTrial) {
+            target.strikes = 0;
+        } else if (++target.trialAnswers >= 1 << Math.min(target.strikes, 3)) {
+            target.onTrial = false;
+            ailing--;
+            target.strikes /= 2;
+            pool.offer(now, target);
+        }
+    }
+
+    /** Lets those whose pause is over take part again. */
+    void tick(double now) {
+        List<Target> over = paused.stream().filter(target -> target.pausedUntil <= now).toList();
+        paused.removeAll(over);
+        over.forEach(target -> pool.offer(now, target));
+    }
+
+    /** What the server did before counts no more. */
+    void heal(Target target) {
+        if (target.onTrial) {
+            target.onTrial = false;
+            ailing--;
+        }
+        target.strikes = 0;
+        target.failing = 0;
+        target.pausedUntil = 0;
+        target.slowness = 1;
+        target.lastAnswer = 0;
+        target.crowding = 0;
+        target.answerGapMs = 0;
+    }
+
+    void forget(Target target) {
+        paused.remove(target);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -0,0 +1,176 @@
+package lemonrail.core.policy;
+
+import lemonrail.core.Contract.*;
+import lemonrail.core.TokenBucket;
+
+/** How many calls may be out at once, learned from outcomes, and who is turned away. */
+final class Limit {
+
+    /** Calls a server, over all balancers, that the limit starts from, and that it stays above. */
+    static final double FIRST_CALLS = 4;
+    private static final double LEAST_CALLS = 0.5;
+    /** What is left of the remembered peak after one refill pause. */
+    private static final double PEAK_DECAY = 0.996;
+    /** The share of the pool's bound kept for calls of more worth. */
+    private static final double RESERVE = 0.2;
+    /** Calls at the first tier that are beyond their tenant's allowance get this part of the limit. */
+    private static final double BEYOND_SHARE = 0.6;
+    /** For so long after a call within its share was turned away, none beyond its share is taken. */
+    private static final double SHARE_FIRST_MS = 1000;
+    /** Seconds of a tenant's allowance that may be saved up: clients come in bursts. */
+    private static final double ALLOWANCE_SAVINGS_S = 2;
+    /** The part of what the aim leaves beyond the base time that answers may take on average. */
+    private static final double COMFORT = 0.2;
+    /** The part of it left where the limit is small, and the limit from which all of it counts. */
+    private static final double LEAST_COMFORT = 0.5;
+    private static final double AMPLE_LIMIT = 3;
+    /** Weight of a new outcome in the pressure, and what a crowded pool's limit is cut to. */
+    private static final double PRESSURE_GAIN = 1.0 / 16;
+    private static final double CUT = 0.85;
+    /** While answers are slow, no server may hold more than this multiple of what the limit stands for. */
+    private static final double CASCADE = 2;
+
+    private final Settings settings;
+    private final Ranks ranks;
+    private final Health health;
+    private final Locality locality;
+    private final double mostWorth;
+    int inFlight;
+    double peak;
+    /** When an attempt last ended, and how long it took. */
+    private double lastEnd;
+    private double lastTook;
+    /** How many calls may be out at once before the first tier turns more away. */
+    double limit;
+    /** What outcomes took beyond the base time, as a part of what the aim leaves, on recent average. */
+    private double pressure;
+    private double nextCut;
+    private double quickUntil;
+    /** Calls turned away since the last report, and when one within its tenant's share last was. */
+    int turnedAway;
+    private double shareTurnedAway = Double.NEGATIVE_INFINITY;
+    /** This balancer's part of each tenant's allowance. */
+    private final TokenBucket[] allowances;
+
+    Limit(Settings settings, Ranks ranks, Health health, Locality locality) {
+        this.settings = settings;
+        this.ranks = ranks;
+        this.health = health;
+        this.locality = locality;
+        double worth = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
+        mostWorth = worth > 0 ? worth : 1;
+        allowances = settings.tenants().stream().map(tenant -> {
+            double perMs = tenant.allowancePerSecond() / settings.balancers() / 1000;
+            return new TokenBucket(perMs, 1 + ALLOWANCE_SAVINGS_S * 1000 * perMs);
+        }).toArray(TokenBucket[]::new);
+    }
+
+    /** Takes in that the list of servers has changed. */
+    void resize(int readyBefore) {
+        int ready = ranks.ready;
+        if (limit == 0) {
+            limit = Math.min(Pool.CEILING, Math.max(1, FIRST_CALLS * ready / settings.balancers()));
+            quickUntil = 2 * limit;
+        } else if (readyBefore > 0 && ready > 0) {
+            // What was learned holds for each server: fewer must not get the calls of all.
+            limit = Math.min(Pool.CEILING, limit * ready / readyBefore);
+        }
+    }
+
+    /** Whether there is room for a call. Lower tiers do not shed: a call there carries work done above. */
+    boolean admits(double now, Call call) {
+        call.withinShare = settings.tier() > 0 || allowances.length == 0
+            || allowances[call.request.tenant()].take(now);
+        boolean admitted = hasRoom(now, call);
+        if (!admitted) {
+            shareTurnedAway = call.withinShare ? now : shareTurnedAway;
+            turnedAway++;
+        }
+        return admitted;
+    }
+
+    private boolean hasRoom(double now, Call call) {
+        if (settings.tier() > 0) {
+            return inFlight < Pool.CEILING;
+        }
+        // The last of what there is is for calls of more worth.
+        double most = limit
+            * ((call.withinShare ? 1 : BEYOND_SHARE) * (1 - RESERVE * (1 - call.kind.worth() / mostWorth)));
+        if (call.withinShare) {
+            return most >= 1 ? inFlight < most : inFlight == 0 && now >= pacedUntil(most);
+        }
+        // Where the limit is a call or two, a flood would take it all again and again: it must fit well.
+        return now - shareTurnedAway >= SHARE_FIRST_MS && inFlight < most - 0.5;
+    }
+
+    /** A limit below one call is a pace: on average no more than that part of a call is out. */
+    private double pacedUntil(double most) {
+        return lastEnd + lastTook * (1 / most - 1);
+    }
+
+    void sent() {
+        inFlight++;
+        peak = Math.max(peak, inFlight);
+    }
+
+    /** The peak as it has been, which fades from here on. */
+    double fadingPeak() {
+        double before = peak;
+        peak = Math.max(inFlight, peak * PEAK_DECAY);
+        return before;
+    }
+
+    /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
+    void judge(double now, Call call, Call.Attempt attempt, Finished finished) {
+        lastEnd = now;
+        lastTook = finished.tookMs();
+        Target target = attempt.slot().target;
+        double base = call.learned.baseMs();
+        if (finished.outcome() == Outcome.TIMED_OUT && health.hangs(now, target)) {
+            return;
+        }
+        double ratio = switch (finished.outcome()) {
+            case OK, TIMED_OUT -> Math.max(0, Math.min(2, (finished.tookMs() - base)
+                / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4)));
+            case QUEUE_FULL -> 1;
+            default -> pressure;
+        };
+        locality.crowding(target, ratio);
+        if (finished.outcome() == Outcome.OK) {
+            target.answered(now, ratio);
+        } else if (finished.outcome() == Outcome.TIMED_OUT && target.lastAnswer > attempt.sentAt()
+                // It has answered others since, in comfort: the lost call tells no more than they do.
+                && target.crowding < comfort() && target.inFlight <= Math.max(1, limit / ranks.ready)) {
+            ratio = Math.min(ratio, target.crowding);
+        }
+        // A balancer with few calls at once has few answers a second: each must then tell more.
+        pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
+        if (pressure > comfort()) {
+            if (now >= nextCut) {
+                limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
+                nextCut = now + call.learned.typicalMs();
+            }
+        } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
+            // Where balancers are few, a drained one's calls come at once: a step a round would refuse many.
+            boolean sought = growth() == 1 && now - shareTurnedAway < SHARE_FIRST_MS;
+            boolean quick = (limit < quickUntil || sought) && pressure < comfort() / 2;
+            limit = Math.min(Pool.CEILING, limit + Math.min(limit, (quick ? 1 : 1 / limit) * growth()));
+        }
+    }
+
+    /** Against a cascade: while answers are slow, calls that leave one server must not crowd the next. */
+    boolean crowds(Slot slot) {
+        return settings.tier() == 0 && pressure > comfort() / 2 && ranks.formula(slot)
+            >= Math.max(FIRST_CALLS, CASCADE * Math.max(1, limit) * settings.balancers() / ranks.ready);
+    }
+
+    /** With a call or two at once answers are few and a step is large: such balancers keep further off. */
+    private double comfort() {
+        return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, limit / AMPLE_LIMIT));
+    }
+
+    /** Its part of one call a server: all balancers together move the fleet by that, however many. */
+    private double growth() {
+        return Math.min(1, (double) ranks.ready / settings.balancers());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/lemonrail/core/policy/Target.java
@@ -0,0 +1,54 @@
+package lemonrail.core.policy;
+
+import lemonrail.core.Contract.Server;
+import lemonrail.core.StableHash;
+
+/** What this balancer knows of one server. */
+final class Target {
+
+    /** Weights of a new sample and of a new outcome in what is learned of a server. */
+    static final double SERVER_GAIN = 1.0 / 12;
+    static final double FAILING_GAIN = 1.0 / 4;
+
+    final String id;
+    final long hash;
+    Server listed;
+    boolean forgotten;
+    /** Bits of the slots in the pool, and the next slot outside it, if it may have one. */
+    long held;
+    Slot spare;
+    int inFlight;
+    int strikes;
+    /** The recent share of outcomes that spoke against it. */
+    double failing;
+    /** When it last answered, and the usual time between its answers to this balancer; 0 before both. */
+    double lastAnswer;
+    double answerGapMs;
+    /** How crowded it is by its answers of late, in the measure of the pressure. */
+    double crowding;
+    double pausedUntil;
+    /** A connect has failed, though other connections stand, and nothing was answered since. */
+    boolean connectFailed;
+    /** After failures: one slot at a time until it has answered often enough. */
+    boolean onTrial;
+    int trialAnswers;
+    double slowness = 1;
+    double cost = 1;
+    /** Its place on the ring of balancers, the same at every balancer that has the same list. */
+    double place;
+
+    Target(Server listed) {
+        this.id = listed.id();
+        this.listed = listed;
+        this.hash = StableHash.of(id);
+    }
+
+    void answered(double now, double ratio) {
+        crowding += FAILING_GAIN * (ratio - crowding);
+        if (lastAnswer > 0) {
+            double gap = now - lastAnswer;
+            answerGapMs += (answerGapMs == 0 ? 1 : SERVER_GAIN) * (gap - answerGapMs);
+        }
+        lastAnswer = now;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/lemonrail/core/SharedPartsTest.java
@@ -0,0 +1,119 @@
+package lemonrail.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import org.junit.jupiter.api.Test;
+
+/** What the deciders share: rates, hashes, rings and answer times. */
+class SharedPartsTest {
+
+    @Test
+    void aBucketSavesUpToItsBoundAndNoMore() {
+        TokenBucket bucket = new TokenBucket(0.01, 3);
+        for (int i = 0; i < 3; i++) {
+            assertTrue(bucket.take(1000));
+        }
+        assertFalse(bucket.take(1000));
+        assertFalse(bucket.take(1099));
+        assertTrue(bucket.take(1100));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(bucket.take(1_000_000));
+        }
+        assertFalse(bucket.take(1_000_000));
+    }
+
+    @Test
+    void aHashIsTheSameInEveryVersion() {
+        // Worked out apart, by the steps that the design page names.
+        assertEquals(0x811c9dc5L, unmixed(""));
+        assertEquals(mixed((int) unmixed("s-5be2a07c")), StableHash.of("s-5be2a07c"));
+        assertNotEquals(StableHash.of("a"), StableHash.of("b"));
+    }
+
+    private static long unmixed(String text) {
+        long h = 0x811c9dc5L;
+        for (char c : text.toCharArray()) {
+            h = (h ^ c) * 0x01000193L & 0xffffffffL;
+        }
+        return h;
+    }
+
+    private static long mixed(int h) {
+        int a = (h ^ h >>> 16) * 0x7feb352d;
+        return (a ^ a >>> 15) & 0xffffffffL;
+    }
+
+    @Test
+    void arcsAreAsWideAsWeightsInEachGroup() {
+        Map<String, Double> places = new HashMap<>();
+        Ring.place(List.of("a1", "b1", "a2", "a3"), name -> name.charAt(0),
+            name -> Character.digit(name.charAt(1), 10), places::put);
+        assertEquals(1, places.get("a1"));
+        assertEquals(1 - 1 / 6.0, places.get("a2"), 1e-12);
+        assertEquals(1 - 3 / 6.0, places.get("a3"), 1e-12);
+        assertEquals(1, places.get("b1"));
+    }
+
+    @Test
+    void eachRingHasAnOrderOfItsOwn() {
+        List<Long> hashes = IntStream.range(0, 50).mapToObj(i -> StableHash.of("s" + i)).toList();
+        assertEquals(hashes, hashes.stream().map(hash -> Ring.order(hash, 0)).toList());
+        List<Long> first = hashes.stream().sorted(Comparator.comparing(h -> Ring.order(h, 1))).toList();
+        List<Long> second = hashes.stream().sorted(Comparator.comparing(h -> Ring.order(h, 2))).toList();
+        assertNotEquals(first, second);
+    }
+
+    @Test
+    void answerTimesStartFromTheClassAndFollowWhatComes() {
+        AnswerTimes times = new AnswerTimes(
+            new RequestClass("read", 1000, 3000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false));
+        assertEquals(250, times.typicalMs());
+        assertEquals(250, times.baseMs());
+        assertEquals(1000, times.tailMs());
+        for (int i = 0; i < 2000; i++) {
+            times.waited(i % 50 == 0 ? 400 : 100);
+            times.answered(100);
+        }
+        assertEquals(100, times.typicalMs(), 0.1);
+        assertEquals(100, times.baseMs(), 0.1);
+        assertTrue(times.tailMs() > 100 && times.tailMs() < 450, "" + times.tailMs());
+        for (int i = 0; i < 500; i++) {
+            times.waited(9000);
+        }
+        assertEquals(3000, times.tailMs(), "no more than the deadline");
+    }
+
+    @Test
+    void warmthGrowsEvenlyFromTheStart() {
+        Rules rules = new Rules(0.2, 1000, 3, 1000, 1000, 10_000);
+        assertEquals(1, rules.warmth(5, 0), "0 is long ago");
+        assertEquals(0.2, rules.warmth(5000, 5000));
+        assertEquals(0.6, rules.warmth(5500, 5000), 1e-12);
+        assertEquals(1, rules.warmth(6000, 5000));
+        assertEquals(0.2, rules.warmth(4000, 5000), "clocks may disagree");
+    }
+
+    @Test
+    void groupsHoldServersOfOneZoneOrRack() {
+        Server one = new Server("one", 1, 0, 7, 0, State.READY, 1);
+        Server other = new Server("other", 1, 0, 8, 0, State.READY, 1);
+        assertTrue(Group.ALL.holds(one, other));
+        assertTrue(Group.ZONE.holds(one, other));
+        assertFalse(Group.CELL.holds(one, other));
+        assertEquals(State.DRAINING, one.with(State.DRAINING).state());
+    }
+}
--- a/edge/src/main/java/lemonrail/suspension/Suspensions.java
+++ b/edge/src/main/java/lemonrail/suspension/Suspensions.java
@@ -73,8 +73,7 @@
 
     private Server shown(Server entry) {
         return entry.state() != State.READY || !suspended.contains(entry.id()) ? entry
-            : new Server(entry.id(), entry.zone(), entry.kind(), entry.cell(), entry.startedMs(),
-                State.DRAINING, entry.weight());
+            : entry.with(State.DRAINING);
     }
 
     /** The listed ones among these, as the module is to see them now. */
