Hold in a test that no spoilt configuration starts an edge

Need: 51 spoilt files were each named by file, line and key, but that none of them starts rested on reading the code.

Change: the same rows are given to the call that starts an edge, which must end with status 2 and one line that begins with the first problem.

Measured: 51 of 51 rows end with 2 and one line.

--- a/edge/src/test/java/lemonrail/config/BadFilesTest.java
+++ b/edge/src/test/java/lemonrail/cli/BadFilesTest.java
@@ -1,14 +1,22 @@
-package lemonrail.config;
+package lemonrail.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import lemonrail.config.ConfigException;
+import lemonrail.config.EdgeConfig;
+import lemonrail.config.Loaded;
+import lemonrail.config.Problem;
+import lemonrail.config.TomlFile;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -144,6 +152,12 @@
         assertEquals(key == null ? "" : key, first.key());
         assertTrue(first.toString().startsWith(folder.resolve("edge.toml") + ":" + line + ": "));
         assertTrue(first.toString().contains(rest), first.toString());
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        assertEquals(Main.BAD_INPUT, Main.serve(folder.resolve("edge.toml"),
+            new PrintStream(said, true, StandardCharsets.UTF_8)), "it does not start");
+        String told = said.toString(StandardCharsets.UTF_8);
+        assertTrue(told.startsWith("lemonrail: " + first), told);
+        assertEquals(1, told.lines().count(), told);
     }
 
     @Test
