--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/model/EndpointTest.java
@@ -0,0 +1,210 @@
+package lemonrail.lab.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import lemonrail.lab.model.EndpointShape.ColdStart;
+import lemonrail.lab.model.EndpointShape.Crowding;
+import lemonrail.lab.model.EndpointShape.Warming;
+import org.junit.jupiter.api.Test;
+
+class EndpointTest {
+
+    private final VirtualAgenda agenda = new VirtualAgenda();
+    private final Rack rack = new Rack(agenda, 10_000);
+    private final List<String> seen = new ArrayList<>();
+
+    private Endpoint endpoint(int slots, int room, ColdStart cold, Crowding crowding) {
+        return new Endpoint(agenda,
+            new EndpointShape("e", 0, 1, 1, slots, room, 3, 50, cold, crowding), rack);
+    }
+
+    private Work work(String name, String key, double ms, int calls) {
+        return new Work(key, ms, calls) {
+            @Override
+            protected void began() {
+                seen.add(name + " began " + Math.round(agenda.nowMs()));
+            }
+
+            @Override
+            protected void call(Consumer<Boolean> done) {
+                seen.add(name + " calls " + Math.round(agenda.nowMs()));
+                agenda.after(30, () -> done.accept(!name.equals("unlucky")));
+            }
+
+            @Override
+            protected void answered(Answer answer) {
+                seen.add(name + " " + answer + " " + Math.round(agenda.nowMs()));
+            }
+        };
+    }
+
+    @Test
+    void slotsThenTheWaitingRoomThenTurnedAway() {
+        Endpoint endpoint = endpoint(1, 1, ColdStart.NONE, Crowding.NONE);
+        endpoint.offer(work("a", null, 100, 0));
+        endpoint.offer(work("b", null, 100, 0));
+        endpoint.offer(work("c", null, 100, 0));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 0", "c TURNED_AWAY 0", "b began 100", "a SERVED 100", "b SERVED 200"),
+            seen);
+        assertEquals(2, endpoint.mostHeld());
+    }
+
+    @Test
+    void aCallHoldsTheSlotAndAFailedOneEndsTheRequest() {
+        Endpoint endpoint = endpoint(1, 5, ColdStart.NONE, Crowding.NONE);
+        endpoint.offer(work("a", null, 100, 2));
+        endpoint.offer(work("unlucky", null, 100, 2));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 0", "a calls 50", "a calls 80", "unlucky began 160", "a SERVED 160",
+            "unlucky calls 210", "unlucky ERROR 240"), seen);
+    }
+
+    @Test
+    void whatIsCancelledStopsAndFreesItsSlot() {
+        Endpoint endpoint = endpoint(1, 5, ColdStart.NONE, Crowding.NONE);
+        Work given = work("a", null, 100, 0);
+        endpoint.offer(given);
+        endpoint.offer(work("b", null, 100, 0));
+        agenda.after(40, () -> endpoint.cancel(given));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 0", "b began 40", "b SERVED 140"), seen);
+        assertEquals(140, endpoint.doneMs(), 1e-6);
+    }
+
+    @Test
+    void aRackDropsRepeatsForAWhileAndAnotherDoesNot() {
+        Endpoint one = endpoint(9, 0, ColdStart.NONE, Crowding.NONE);
+        Endpoint other = endpoint(9, 0, ColdStart.NONE, Crowding.NONE);
+        Endpoint far = new Endpoint(agenda, one.shape(), new Rack(agenda, 10_000));
+        one.offer(work("a", "k", 100, 0));
+        agenda.after(50, () -> other.offer(work("repeat", "k", 100, 0)));
+        agenda.after(60, () -> far.offer(work("far", "k", 100, 0)));
+        agenda.after(10_001, () -> other.offer(work("late", "k", 100, 0)));
+        agenda.runUntil(20_000);
+        assertEquals(List.of("a began 0", "repeat SERVED 50", "far began 60", "a SERVED 100",
+            "far SERVED 160", "late began 10001", "late SERVED 10101"), seen);
+    }
+
+    @Test
+    void coldByTimeItDoesAsMuchAsItsWarmthSays() {
+        Endpoint endpoint = endpoint(1, 5, new ColdStart(0.2, 1000, Warming.TIME, 99, 3000), Crowding.NONE);
+        endpoint.start();
+        assertEquals(0.2, endpoint.warmth(), 1e-9);
+        endpoint.offer(work("a", null, 600, 0));
+        agenda.runUntil(995);
+        // Rising evenly from a fifth to the whole, 0.6 s of work take 1 s.
+        assertEquals(1, seen.size());
+        agenda.runUntil(1030);
+        assertEquals(2, seen.size());
+        assertEquals(1, endpoint.warmth(), 1e-9);
+    }
+
+    @Test
+    void coldByWorkItWarmsFasterWhenItWorks() {
+        ColdStart cold = new ColdStart(0.5, 1000, Warming.WORK, 99, 3000);
+        Endpoint busy = endpoint(1, 5, cold, Crowding.NONE);
+        Endpoint idle = endpoint(1, 5, cold, Crowding.NONE);
+        agenda.after(0, busy::start);
+        agenda.after(0, idle::start);
+        agenda.after(0, () -> busy.offer(work("a", null, 5000, 0)));
+        agenda.runUntil(500);
+        assertEquals(0.75, idle.warmth(), 1e-9);
+        assertEquals(0.75, busy.warmth(), 0.001);
+        agenda.runUntil(900);
+        busy.doneMs();
+        assertTrue(busy.warmth() >= idle.warmth(), "never slower than by time");
+    }
+
+    @Test
+    void sentTooMuchWhileColdItFallsOverAndStaysDown() {
+        ColdStart cold = new ColdStart(0.1, 10_000, Warming.TIME, 3, 3000);
+        Endpoint endpoint = endpoint(50, 50, cold, Crowding.NONE);
+        endpoint.start();
+        // It bears 3 x 0.1 x 3000 ms of work.
+        for (int i = 0; i < 8; i++) {
+            endpoint.offer(work("w" + i, null, 100, 0));
+        }
+        assertFalse(endpoint.hasFallen());
+        endpoint.offer(work("last", null, 150, 0));
+        assertTrue(endpoint.hasFallen());
+        agenda.runUntil(60_000);
+        assertEquals(8, seen.size(), "nothing is answered any more");
+        endpoint.start();
+        assertFalse(endpoint.hasFallen());
+    }
+
+    @Test
+    void crowdedForLongItSlowsUntilItHasBeenIdle() {
+        Endpoint endpoint = endpoint(50, 50, ColdStart.NONE, new Crowding(4, 1000, 2, 500, 60_000));
+        for (int i = 0; i < 6; i++) {
+            endpoint.offer(work("w" + i, null, 400, 0));
+        }
+        agenda.runUntil(990);
+        assertFalse(endpoint.isCrowded());
+        agenda.runUntil(1040);
+        assertTrue(endpoint.isCrowded());
+        // 2400 ms of work: 1000 at full speed, the rest at half.
+        agenda.runUntil(3700);
+        assertEquals(6, seen.size());
+        agenda.runUntil(4000);
+        assertEquals(12, seen.size());
+        assertTrue(endpoint.isCrowded());
+        agenda.runUntil(4500);
+        assertFalse(endpoint.isCrowded());
+    }
+
+    @Test
+    void aBurstThatIsOverInTimeDoesNotSlowIt() {
+        Endpoint endpoint = endpoint(50, 50, ColdStart.NONE, new Crowding(4, 1000, 2, 500, 60_000));
+        for (int i = 0; i < 6; i++) {
+            endpoint.offer(work("w" + i, null, 150, 0));
+        }
+        agenda.runUntil(5000);
+        assertFalse(endpoint.isCrowded());
+        assertEquals("w5 SERVED 900", seen.get(11));
+    }
+
+    @Test
+    void connectionsAreCappedAndCostAHandshake() {
+        Endpoint endpoint = endpoint(1, 5, ColdStart.NONE, Crowding.NONE);
+        assertTrue(endpoint.connect() && endpoint.connect() && endpoint.connect());
+        assertFalse(endpoint.connect());
+        endpoint.disconnect();
+        assertTrue(endpoint.connect());
+        endpoint.handshake(() -> endpoint.offer(work("a", null, 100, 0)));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 50", "a SERVED 150"), seen);
+        assertEquals(150, endpoint.doneMs(), 1e-6);
+    }
+
+    @Test
+    void drainingItFinishesWhatItHas() {
+        Endpoint endpoint = endpoint(1, 5, ColdStart.NONE, Crowding.NONE);
+        endpoint.offer(work("a", null, 100, 0));
+        endpoint.drain(true);
+        endpoint.offer(work("b", null, 100, 0));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 0", "b TURNED_AWAY 0", "a SERVED 100"), seen);
+    }
+
+    @Test
+    void vanishedItSaysNothingAndComesBackColdAndEmpty() {
+        Endpoint endpoint = endpoint(1, 5, new ColdStart(0.2, 1000, Warming.TIME, 99, 3000), Crowding.NONE);
+        endpoint.offer(work("a", null, 100, 0));
+        agenda.after(50, endpoint::vanish);
+        agenda.after(60, () -> endpoint.offer(work("b", null, 100, 0)));
+        agenda.after(500, endpoint::start);
+        agenda.runUntil(500);
+        assertTrue(endpoint.connect());
+        assertEquals(0.2, endpoint.warmth(), 1e-9);
+        assertEquals(0, endpoint.held());
+        agenda.runUntil(5000);
+        assertEquals(List.of("a began 0"), seen);
+    }
+}
