--- a/core/src/main/java/lemonrail/core/Contract.java
+++ b/core/src/main/java/lemonrail/core/Contract.java
@@ -219,6 +219,11 @@
 
         /** A timer set by {@link Actions#timer} has come due. */
         void onTimer(double now, long name);
+
+        /** How many servers that discovery calls ready are left out for what they did; it changes nothing. */
+        default int avoided(double now) {
+            return 0;
+        }
     }
 
     /** What a balancer has its host do, in the order of the calls. */
--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -24,6 +24,8 @@
 import lemonrail.config.EdgeConfig;
 import lemonrail.config.Loaded;
 import lemonrail.config.PlatformFile;
+import lemonrail.core.Decider;
+import lemonrail.core.policy.Decide;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Front;
@@ -75,6 +77,7 @@
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Protocol<?, ?> protocol;
+    private final Decider decider;
     private final Lifecycle lifecycle = new Lifecycle(() -> knowsEndpoints());
     private Shard shard;
     private final Metrics metrics;
@@ -90,8 +93,10 @@
     private boolean sharesLimits;
     private Exchange<?, ?> exchange;
 
-    private Sidecar(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink) {
+    private Sidecar(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink,
+            Decider decider) {
         this.protocol = protocol;
+        this.decider = decider;
         this.source = source;
         values = loaded.values();
         config = loaded.config();
@@ -104,7 +109,13 @@
 
     /** Builds the parts by a configuration that was loaded from this source, which a reload reads again. */
     public static Sidecar create(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink) {
-        Sidecar sidecar = new Sidecar(protocol, source, loaded, sink);
+        return create(protocol, source, loaded, sink, Decide::new);
+    }
+
+    /** The same, with another decider in place of the project's own, as experiments have it. */
+    public static Sidecar create(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink,
+            Decider decider) {
+        Sidecar sidecar = new Sidecar(protocol, source, loaded, sink, decider);
         sidecar.loop.submit(sidecar::build).syncUninterruptibly();
         return sidecar;
     }
@@ -187,8 +198,8 @@
 
     private <M extends Message, A> void connect(Protocol<M, A> spoken, int half) {
         Upstream<M, A> upstream = spoken.upstream(shard, half);
-        Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, config.seed(), config.known(),
-            discovery == null ? () -> { } : discovery::watch);
+        Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, decider, config.seed(),
+            config.known(), discovery == null ? () -> { } : discovery::watch);
         endpoints = upstream;
         exchange = between;
         listeners = new Listeners(most -> spoken.front(shard, between, most), clients(half));
@@ -376,8 +387,8 @@
         return door.address();
     }
 
-    /** Ends everything at once. */
-    void stop() {
+    /** Ends everything at once, as a kill does; what is in hand gets no answer. */
+    public void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         try {
             presence.close();
--- a/edge/src/main/java/lemonrail/config/Key.java
+++ b/edge/src/main/java/lemonrail/config/Key.java
@@ -9,13 +9,16 @@
  * @param live whether a reload takes a change of it up
  * @param meaning one line for the operators
  */
-record Key<T>(String name, ValueType<T> type, String usual, boolean required, boolean live, String meaning) {
+public record Key<T>(String name, ValueType<T> type, String usual, boolean required, boolean live,
+        String meaning) {
 
-    static <T> Key<T> required(String name, ValueType<T> type, String meaning) {
+    /** A key that the file must have. */
+    public static <T> Key<T> required(String name, ValueType<T> type, String meaning) {
         return new Key<>(name, type, null, true, false, meaning);
     }
 
-    static <T> Key<T> optional(String name, ValueType<T> type, String usual, String meaning) {
+    /** A key with a value in force where the file has none, or null. */
+    public static <T> Key<T> optional(String name, ValueType<T> type, String usual, String meaning) {
         return new Key<>(name, type, usual, false, false, meaning);
     }
 
--- a/edge/src/main/java/lemonrail/config/SchemaText.java
+++ b/edge/src/main/java/lemonrail/config/SchemaText.java
@@ -91,7 +91,7 @@
             out.writeStringField("description", key.meaning() + "; must be " + key.type().allowed());
             if (key.usual() != null) {
                 out.writeFieldName("default");
-                out.writeRawValue(TomlFile.value(key.usual()).toString());
+                out.writeRawValue(TomlDocument.value(key.usual()).toString());
             }
             out.writeEndObject();
         }
--- a/edge/src/main/java/lemonrail/config/Section.java
+++ b/edge/src/main/java/lemonrail/config/Section.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** One table as the file has it: its values, read key by key; what is wrong goes to the report. */
-final class Section {
+public final class Section {
 
     /** What reading a file has found. */
     interface Report {
@@ -47,7 +47,7 @@
     }
 
     /** The value of a key, the usual one where the file has none, or null where there is neither. */
-    <T> T get(Key<T> key) {
+    public <T> T get(Key<T> key) {
         String variable = variable(key);
         JsonNode node = fields.get(key.name());
         Origin origin = Origin.FILE;
@@ -60,7 +60,7 @@
                 report.wrong(path(key.name()), null, "is missing; it must be " + key.type().allowed());
             } else if (key.usual() != null) {
                 report.inForce(path(key.name()), key.usual(), Origin.DEFAULT, key.live());
-                return key.type().read().apply(TomlFile.value(key.usual()));
+                return key.type().read().apply(TomlDocument.value(key.usual()));
             }
             return null;
         }
@@ -74,17 +74,19 @@
         return value;
     }
 
-    boolean has(Key<?> key) {
+    /** Whether the file has this key here. */
+    public boolean has(Key<?> key) {
         return fields.has(key.name());
     }
 
     /** Says that the value of a key does not go with another. */
-    void contradicts(Key<?> key, String why) {
+    public void contradicts(Key<?> key, String why) {
         JsonNode value = fields.get(key.name());
         report.wrong(path(key.name()), value == null ? null : value.toString(), why);
     }
 
-    String path(String key) {
+    /** The whole path of a key of this table. */
+    public String path(String key) {
         return table.path(place, key);
     }
 
--- a/edge/src/main/java/lemonrail/config/TomlReading.java
+++ b/edge/src/main/java/lemonrail/config/TomlReading.java
@@ -1,6 +1,5 @@
 package lemonrail.config;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,56 +23,41 @@
 import lemonrail.logging.LogSettings;
 import lemonrail.logging.Severity;
 
-/** From the tree of an operators' file to what an edge is told; goes on where something is wrong. */
+/** From an operators' file to what an edge is told; goes on where something is wrong. */
 final class TomlReading {
 
     private static final double NEVER_MS = 1e12;
 
-    private final JsonNode root;
+    private final TomlDocument document;
     private final Map<String, String> environment;
-    private final Section.Report report;
-    private boolean wrong;
     /** Addresses that are taken, and by which key. */
     private final Map<InetSocketAddress, String> taken = new HashMap<>();
 
-    TomlReading(JsonNode root, Map<String, String> environment, Section.Report report) {
-        this.root = root;
+    TomlReading(TomlDocument document, Map<String, String> environment) {
+        this.document = document;
         this.environment = environment;
-        this.report = new Section.Report() {
-            @Override
-            public void wrong(String path, String value, String allowed) {
-                wrong = true;
-                report.wrong(path, value, allowed);
-            }
-
-            @Override
-            public void inForce(String path, String text, Section.Origin origin, boolean live) {
-                report.inForce(path, text, origin, live);
-            }
-        };
     }
 
     /** The configuration, or null where anything is wrong, which the report has heard of. */
     EdgeConfig read() {
-        Section top = new Section(Schema.ROOT, 0, root, environment, report);
-        top.checkNames(Schema.TABLES.stream().map(Table::name).filter(name -> !name.isEmpty()).toList());
+        Section top = document.top(Schema.ROOT, Schema.TABLES);
         String name = top.get(Schema.NAME);
         String folder = top.get(Schema.STATE_DIR);
         Integer seed = top.get(Schema.SEED);
         List<InetSocketAddress> listeners = listeners();
         InetSocketAddress admin = admin();
-        InetSocketAddress discovery = one(Schema.LIST).get(Schema.DISCOVERY);
-        Section fleet = one(Schema.FLEET);
+        InetSocketAddress discovery = document.one(Schema.LIST).get(Schema.DISCOVERY);
+        Section fleet = document.one(Schema.FLEET);
         List<String> zones = fleet.get(Schema.ZONES);
         int ownZone = ownZone(fleet, zones);
         Boolean weighted = fleet.get(Schema.WEIGHTED);
         List<ServerList.Entry> endpoints = endpoints(zones);
-        if (discovery == null && !root.has(Schema.ENDPOINTS.name()) && !root.has(Schema.LIST.name())) {
-            report.wrong("endpoints", null, "is missing; there must be [[endpoints]] or discovery.address");
+        if (discovery == null && !document.has(Schema.ENDPOINTS) && !document.has(Schema.LIST)) {
+            document.wrong("endpoints", null, "is missing; there must be [[endpoints]] or discovery.address");
         }
         List<RequestClass> classes = classes();
         List<Tenant> tenants = tenants();
-        Section limits = one(Schema.LIMITS);
+        Section limits = document.one(Schema.LIMITS);
         Long memory = limits.get(Schema.MEMORY);
         Integer descriptors = limits.get(Schema.DESCRIPTORS);
         Integer attempts = limits.get(Schema.ATTEMPTS);
@@ -83,7 +67,7 @@
         if (connectMs != null && classes.stream().anyMatch(kind -> connectMs > kind.deadlineMs())) {
             limits.contradicts(Schema.CONNECT_TIMEOUT, "is longer than the deadline of a class");
         }
-        Section balancing = one(Schema.BALANCING);
+        Section balancing = document.one(Schema.BALANCING);
         Integer balancers = balancing.get(Schema.BALANCERS);
         Integer number = balancing.get(Schema.NUMBER);
         if (balancers != null && number != null && number >= balancers) {
@@ -92,14 +76,14 @@
         Integer tier = balancing.get(Schema.TIER);
         Double overShare = balancing.get(Schema.OVER_SHARE);
         Double crossZone = balancing.get(Schema.CROSS_ZONE);
-        Section cold = one(Schema.COLD_START);
+        Section cold = document.one(Schema.COLD_START);
         Double coldShare = cold.get(Schema.COLD_SHARE);
         Double coldMs = cold.get(Schema.COLD_TIME);
         Double tip = cold.get(Schema.TIP);
         Double tipMs = cold.get(Schema.TIP_WINDOW);
-        Double graceMs = one(Schema.DRAIN).get(Schema.GRACE);
+        Double graceMs = document.one(Schema.DRAIN).get(Schema.GRACE);
         LogSettings logging = logging();
-        if (wrong) {
+        if (document.isWrong()) {
             return null;
         }
         Settings settings = new Settings(balancers, number, ownZone, tier, false, weighted, overShare,
@@ -112,41 +96,6 @@
             new ServerList(0, true, endpoints), settings, logging);
     }
 
-    private Section one(Table table) {
-        JsonNode fields = root.get(table.name());
-        if (fields != null && !fields.isObject()) {
-            report.wrong(table.name(), fields.toString(), "must be a table: [" + table.name() + "]");
-            fields = null;
-        }
-        Section section = new Section(table, 0, fields == null ? TomlFile.none() : fields, environment,
-            report);
-        section.checkNames(List.of());
-        return section;
-    }
-
-    private List<Section> all(Table table) {
-        JsonNode elements = root.get(table.name());
-        List<Section> sections = new ArrayList<>();
-        if (elements == null) {
-            return sections;
-        }
-        boolean tables = elements.isArray();
-        for (JsonNode element : elements) {
-            tables &= element.isObject();
-        }
-        if (!tables || elements.size() > table.most()) {
-            report.wrong(table.name(), tables ? elements.size() + " tables" : elements.toString(),
-                "must be 1 to " + table.most() + " tables: [[" + table.name() + "]]");
-            return sections;
-        }
-        for (JsonNode element : elements) {
-            Section section = new Section(table, sections.size(), element, environment, report);
-            section.checkNames(List.of());
-            sections.add(section);
-        }
-        return sections;
-    }
-
     private void takeAddress(Section section, Key<InetSocketAddress> key, InetSocketAddress address) {
         if (address != null && address.getPort() != 0) {
             String other = taken.putIfAbsent(address, section.path(key.name()));
@@ -158,20 +107,20 @@
 
     private List<InetSocketAddress> listeners() {
         List<InetSocketAddress> addresses = new ArrayList<>();
-        for (Section section : all(Schema.LISTENERS)) {
+        for (Section section : document.all(Schema.LISTENERS)) {
             InetSocketAddress address = section.get(Schema.LISTENER);
             section.get(Schema.PROTOCOL);
             takeAddress(section, Schema.LISTENER, address);
             addresses.add(address);
         }
-        if (root.get(Schema.LISTENERS.name()) == null) {
-            report.wrong("listeners", null, "is missing; there must be at least one [[listeners]]");
+        if (!document.has(Schema.LISTENERS)) {
+            document.wrong("listeners", null, "is missing; there must be at least one [[listeners]]");
         }
         return addresses;
     }
 
     private InetSocketAddress admin() {
-        Section section = one(Schema.DOOR);
+        Section section = document.one(Schema.DOOR);
         InetSocketAddress address = section.get(Schema.ADMIN);
         takeAddress(section, Schema.ADMIN, address);
         return address;
@@ -198,7 +147,7 @@
     private List<ServerList.Entry> endpoints(List<String> zones) {
         List<ServerList.Entry> entries = new ArrayList<>();
         Set<String> ids = new HashSet<>();
-        for (Section section : all(Schema.ENDPOINTS)) {
+        for (Section section : document.all(Schema.ENDPOINTS)) {
             String id = section.get(Schema.ENDPOINT_ID);
             unique(section, Schema.ENDPOINT_ID, id, ids);
             InetSocketAddress address = section.get(Schema.ENDPOINT);
@@ -210,7 +159,7 @@
             Integer rack = section.get(Schema.ENDPOINT_RACK);
             Double weight = section.get(Schema.ENDPOINT_WEIGHT);
             var state = section.get(Schema.ENDPOINT_STATE);
-            if (!wrong) {
+            if (!document.isWrong()) {
                 entries.add(new ServerList.Entry(new Server(id,
                     zone == null ? 0 : zones.indexOf(zone), 0, rack, 0, state, weight), address));
             }
@@ -221,7 +170,7 @@
     private List<RequestClass> classes() {
         List<RequestClass> classes = new ArrayList<>();
         Set<String> names = new HashSet<>();
-        for (Section section : all(Schema.CLASSES)) {
+        for (Section section : document.all(Schema.CLASSES)) {
             String name = section.get(Schema.CLASS_NAME);
             unique(section, Schema.CLASS_NAME, name, names);
             Effect effect = section.get(Schema.EFFECT);
@@ -243,13 +192,13 @@
             } else if (effect != null && effect != Effect.BY_KEY && window != null) {
                 section.contradicts(Schema.KEY_WINDOW, "goes with effect = \"keyed\" only");
             }
-            if (!wrong) {
+            if (!document.isWrong()) {
                 classes.add(new RequestClass(name, aim, deadline, worth, lateWorth, effect, scope,
                     window == null ? 0 : window, false));
             }
         }
-        if (root.get(Schema.CLASSES.name()) == null) {
-            report.wrong("classes", null, "is missing; there must be at least one [[classes]]");
+        if (!document.has(Schema.CLASSES)) {
+            document.wrong("classes", null, "is missing; there must be at least one [[classes]]");
         }
         return classes;
     }
@@ -257,11 +206,11 @@
     private List<Tenant> tenants() {
         List<Tenant> tenants = new ArrayList<>();
         Set<String> names = new HashSet<>();
-        for (Section section : all(Schema.TENANTS)) {
+        for (Section section : document.all(Schema.TENANTS)) {
             String name = section.get(Schema.TENANT);
             unique(section, Schema.TENANT, name, names);
             Double rate = section.get(Schema.RATE);
-            if (!wrong) {
+            if (!document.isWrong()) {
                 tenants.add(new Tenant(name, rate, 0));
             }
         }
@@ -269,12 +218,12 @@
     }
 
     private LogSettings logging() {
-        Section section = one(Schema.LOGGING);
+        Section section = document.one(Schema.LOGGING);
         LogSettings.Format format = section.get(Schema.FORMAT);
         Severity level = section.get(Schema.LEVEL);
         Map<String, Severity> some = section.get(Schema.LEVELS);
         Integer waiting = section.get(Schema.WAITING);
-        if (wrong) {
+        if (document.isWrong()) {
             return null;
         }
         Map<String, Severity> levels = new LinkedHashMap<>();
--- a/edge/src/main/java/lemonrail/config/ValueType.java
+++ b/edge/src/main/java/lemonrail/config/ValueType.java
@@ -26,7 +26,7 @@
  * @param read gives the value, or null for what is not allowed
  * @param <T> what it is read as
  */
-record ValueType<T>(String name, String allowed, Function<JsonNode, T> read) {
+public record ValueType<T>(String name, String allowed, Function<JsonNode, T> read) {
 
     private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(ms|s|m|h)");
     private static final Map<String, Double> MS = Map.of("ms", 1.0, "s", 1000.0, "m", 60_000.0, "h",
@@ -35,24 +35,28 @@
     private static final Map<String, Long> BYTES = Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB",
         1L << 30);
 
-    static ValueType<String> text(String pattern, String allowed) {
+    /** Text of this pattern. */
+    public static ValueType<String> text(String pattern, String allowed) {
         Pattern whole = Pattern.compile(pattern);
         return new ValueType<>("string", allowed, node ->
             node.isTextual() && whole.matcher(node.textValue()).matches() ? node.textValue() : null);
     }
 
-    static ValueType<String> word() {
+    /** A short name. */
+    public static ValueType<String> word() {
         return text("[A-Za-z0-9._-]{1,64}", "1 to 64 letters, digits, '.', '_' or '-'");
     }
 
-    static ValueType<Boolean> flag() {
+    /** True or false. */
+    public static ValueType<Boolean> flag() {
         return new ValueType<>("boolean", "true or false", node ->
             node.isBoolean() ? (Boolean) node.booleanValue()
                 : node.isTextual() && node.textValue().matches("true|false")
                     ? Boolean.valueOf(node.textValue()) : null);
     }
 
-    static ValueType<Integer> whole(int least, int most) {
+    /** A whole number. */
+    public static ValueType<Integer> whole(int least, int most) {
         return new ValueType<>("integer", "a whole number from " + least + " to " + most, node -> {
             JsonNode number = number(node);
             return number != null && number.isIntegralNumber() && number.canConvertToInt()
@@ -60,7 +64,8 @@
         });
     }
 
-    static ValueType<Double> number(double least, double most) {
+    /** A number. */
+    public static ValueType<Double> number(double least, double most) {
         return new ValueType<>("number", "a number from " + plain(least) + " to " + plain(most), node -> {
             JsonNode number = number(node);
             return number != null && number.doubleValue() >= least && number.doubleValue() <= most
@@ -85,7 +90,7 @@
     }
 
     /** Milliseconds. */
-    static ValueType<Double> duration(double leastMs, double mostMs) {
+    public static ValueType<Double> duration(double leastMs, double mostMs) {
         return new ValueType<>("string", "a time with its unit (ms, s, m or h), as in \"2.5s\", from "
             + time(leastMs) + " to " + time(mostMs), node -> {
                 Matcher parts = DURATION.matcher(node.isTextual() ? node.textValue() : "");
@@ -98,7 +103,7 @@
     }
 
     /** Bytes. */
-    static ValueType<Long> size(long least, long most) {
+    public static ValueType<Long> size(long least, long most) {
         return new ValueType<>("string", "a size with its unit (B, KiB, MiB or GiB), as in \"64KiB\", from "
             + (least >> 20) + "MiB to " + (most >> 30) + "GiB", node -> {
                 Matcher parts = SIZE.matcher(node.isTextual() ? node.textValue() : "");
@@ -110,7 +115,8 @@
             });
     }
 
-    static ValueType<InetSocketAddress> address(int leastPort) {
+    /** An address of IP and port. */
+    public static ValueType<InetSocketAddress> address(int leastPort) {
         return new ValueType<>("string", "an IP address and a port from " + leastPort
             + " to 65535, as in \"127.0.0.1:9000\"", node -> {
                 String text = node.isTextual() ? node.textValue() : "";
@@ -130,7 +136,8 @@
             });
     }
 
-    static <E extends Enum<E>> ValueType<E> choice(Class<E> type, String... words) {
+    /** One of these words, in the order of the constants. */
+    public static <E extends Enum<E>> ValueType<E> choice(Class<E> type, String... words) {
         List<String> all = Arrays.asList(words);
         E[] values = type.getEnumConstants();
         return new ValueType<>("string", "one of \"" + String.join("\", \"", all) + "\"", node -> {
@@ -139,7 +146,8 @@
         });
     }
 
-    static ValueType<List<String>> words(int most) {
+    /** A list of short names. */
+    public static ValueType<List<String>> words(int most) {
         return new ValueType<>("array", "a list of 1 to " + most + " different words, as in [\"a\", \"b\"]",
             node -> {
                 List<String> words = new ArrayList<>();
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Events;
 import lemonrail.core.Contract.Finished;
 import lemonrail.core.Contract.ListKind;
 import lemonrail.core.Contract.Load;
@@ -19,7 +20,7 @@
 import lemonrail.core.Contract.Request;
 import lemonrail.core.Contract.Server;
 import lemonrail.core.Contract.Settings;
-import lemonrail.core.policy.Decide;
+import lemonrail.core.Decider;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.discovery.ServerList;
 import lemonrail.logging.EventLog;
@@ -107,7 +108,7 @@
     /** Begins a watch on discovery. */
     private final Runnable watch;
     private final Settings settings;
-    private final Decide module;
+    private final Events module;
     private final Suspensions suspensions;
     private final Map<String, Open<M, A>> table = new HashMap<>();
     /** Events wait here while the module is at work: it is never called from within its own call. */
@@ -118,12 +119,13 @@
     /**
      * An exchange before these endpoints.
      *
+     * @param decider chooses servers, repeats and refusals
      * @param seed for random numbers
      * @param known the list as it was last known, which may be old
      * @param watch begins a watch on discovery
      */
-    public Exchange(Shard shard, Upstream<M, A> endpoints, Suspensions suspensions, long seed,
-            ServerList known, Runnable watch) {
+    public Exchange(Shard shard, Upstream<M, A> endpoints, Suspensions suspensions, Decider decider,
+            long seed, ServerList known, Runnable watch) {
         this.loop = shard.loop();
         this.clock = shard.clock();
         this.log = shard.log().in("exchange");
@@ -132,7 +134,7 @@
         this.watch = watch;
         this.suspensions = suspensions;
         settings = shard.settings();
-        module = new Decide(settings, seed, this);
+        module = decider.create(settings, seed, this);
         tellList(ListKind.CACHED, known);
         if (!settings.asksForList()) {
             watch.run();
--- a/edge/src/main/java/lemonrail/http1/Warmup.java
+++ b/edge/src/main/java/lemonrail/http1/Warmup.java
@@ -35,6 +35,7 @@
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.Server;
 import lemonrail.core.Contract.State;
+import lemonrail.core.policy.Decide;
 import lemonrail.discovery.ServerList;
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Shard;
@@ -116,7 +117,7 @@
             new Lifecycle(() -> true), shard.settings(), shard.idleCloseMs());
         pool = new EndpointPool(own, MOST_CONNECTIONS);
         Exchange<RequestMessage, Answer> exchange = new Exchange<>(own, pool,
-            new Suspensions(scratch, silent), 0, list, () -> { });
+            new Suspensions(scratch, silent), Decide::new, 0, list, () -> { });
         frontend = new Frontend(own, exchange, MOST_CONNECTIONS);
         ChannelFuture bound = frontend.listen(ephemeral());
         bound.addListener(up -> {
--- a/lab/src/main/java/lemonrail/lab/Main.java
+++ b/lab/src/main/java/lemonrail/lab/Main.java
@@ -2,13 +2,14 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import lemonrail.lab.cli.RunCall;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ScopeType;
 
 /** The lab's command line. */
 @Command(name = "lemonrail", description = "Stand-ins and load for an edge.", scope = ScopeType.INHERIT,
-    mixinStandardHelpOptions = true, subcommands = DemoCall.class)
+    mixinStandardHelpOptions = true, subcommands = {DemoCall.class, RunCall.class})
 public final class Main {
 
     private Main() {
@@ -16,6 +17,7 @@
 
     /** Carries a call out; the status is 0, 1 where it has failed, or 2 where the call is no good. */
     public static void main(String[] args) {
+        System.setProperty("java.awt.headless", "true");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         System.exit(new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> {
             line.getErr().println("lemonrail: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/cli/Runner.java
@@ -0,0 +1,151 @@
+package lemonrail.lab.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import lemonrail.lab.host.Played;
+import lemonrail.lab.host.World;
+import lemonrail.lab.model.Ask;
+import lemonrail.lab.model.Clients;
+import lemonrail.lab.report.Judge;
+import lemonrail.lab.report.Report;
+import lemonrail.lab.report.RunFolder;
+import lemonrail.lab.report.Verdict;
+import lemonrail.lab.scenario.Scenario;
+
+/** Plays one run after another, shows how it goes, and keeps each. */
+final class Runner {
+
+    private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long PLAIN_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** One run that has been kept. */
+    record Kept(Path folder, Verdict verdict, boolean isVoid, boolean whole) {
+    }
+
+    private final Path out;
+    private final Path jar;
+    private final PrintWriter words;
+    private final boolean terminal;
+    private long shownNanos;
+
+    Runner(Path out, Path jar, PrintWriter words, boolean terminal) {
+        this.out = out;
+        this.jar = jar;
+        this.words = words;
+        this.terminal = terminal;
+    }
+
+    /** Plays one run; an interrupted one is kept, marked, and ends the call. */
+    Kept run(Scenario scenario, Scenario.Variant variant, long seed)
+            throws IOException, InterruptedException {
+        Path folder = out.resolve(scenario.name()).resolve(variant.name() + "-" + seed);
+        Files.createDirectories(folder);
+        Path scratch = Files.createTempDirectory("lemonrail-lab");
+        Thread playing = Thread.currentThread();
+        boolean[] over = new boolean[1];
+        Thread stop = new Thread(() -> {
+            // The end of the process waits until what is there has been kept.
+            playing.interrupt();
+            awaitOver(over);
+        });
+        Runtime.getRuntime().addShutdownHook(stop);
+        try (World world = new World(scenario, variant, seed, new World.Builds(jar), scratch)) {
+            shownNanos = System.nanoTime();
+            Played played = world.play(clients -> show(scenario, variant, seed, clients));
+            Verdict verdict = Judge.judge(played);
+            RunFolder kept = new RunFolder(folder);
+            kept.keep(played, verdict, version());
+            Report.render(kept);
+            tell(scenario, variant, seed, verdict, played);
+            keepLogs(scratch, folder);
+            if (!played.whole()) {
+                throw new InterruptedException("interrupted; the results so far are in " + folder);
+            }
+            return new Kept(folder, verdict, played.lateness().isVoid(), true);
+        } finally {
+            synchronized (over) {
+                over[0] = true;
+                over.notifyAll();
+            }
+            forget(stop);
+            delete(scratch);
+        }
+    }
+
+    private static void awaitOver(boolean[] over) {
+        synchronized (over) {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (!over[0] && System.nanoTime() < until) {
+                try {
+                    over.wait(100);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private static void forget(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The process is ending: the hook is what ends it.
+        }
+    }
+
+    private static void keepLogs(Path scratch, Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(scratch)) {
+            for (Path log : files.filter(file -> file.toString().endsWith(".log")).toList()) {
+                if (Files.size(log) > 0) {
+                    Path to = Files.createDirectories(folder.resolve("logs")).resolve(log.getFileName());
+                    Files.deleteIfExists(to);
+                    Files.copy(log, to);
+                }
+            }
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        }
+    }
+
+    private static String version() {
+        String version = Runner.class.getPackage().getImplementationVersion();
+        return System.getProperty("lemonrail.commit", version == null ? "of a checkout" : version);
+    }
+
+    private void show(Scenario scenario, Scenario.Variant variant, long seed, Clients clients) {
+        long now = System.nanoTime();
+        if (now - shownNanos < (terminal ? SHOW_NANOS : PLAIN_NANOS)) {
+            return;
+        }
+        shownNanos = now;
+        List<Ask> asks = List.copyOf(clients.asks());
+        long served = asks.stream().filter(ask -> !Double.isNaN(ask.servedMs())).count();
+        words.printf(Locale.ROOT, terminal ? "\r%s %s seed %d: asked %d, served %d " : "%s %s seed %d: asked "
+            + "%d, served %d%n", scenario.name(), variant.name(), seed, asks.size(), served);
+        words.flush();
+    }
+
+    private void tell(Scenario scenario, Scenario.Variant variant, long seed, Verdict verdict,
+            Played played) {
+        words.printf(Locale.ROOT, "%s%-20s %-18s seed %-3d service %.3f  whole %.3f  worst 10 s %.3f  "
+            + "waste %.3f  p50 %.0f  p99 %.0f ms  rules broken %d%s%s%n", terminal ? "\r\u001b[K" : "",
+            scenario.name(), variant.name(), seed, verdict.service(), verdict.whole(), verdict.worst10s(),
+            verdict.waste(), verdict.p50Ms(), verdict.p99Ms(), verdict.broken(),
+            played.lateness().isVoid() ? "  VOID " + played.lateness() : "",
+            played.whole() ? "" : "  interrupted");
+        words.flush();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/decider/Deciders.java
@@ -0,0 +1,30 @@
+package lemonrail.lab.decider;
+
+import java.util.Locale;
+import lemonrail.core.Decider;
+import lemonrail.core.policy.Decide;
+
+/** The deciders that a variant may name. */
+public enum Deciders {
+    /** The project's own. */
+    BOXCAR,
+    /** Any server. */
+    RANDOM,
+    /** Each server in turn. */
+    ROUND_ROBIN,
+    /** The server with the fewest attempts of this sidecar out. */
+    LEAST_OUTSTANDING,
+    /** The better of two drawn at random, by attempts out. */
+    TWO_CHOICES;
+
+    /** Makes balancers of this kind. */
+    public Decider decider() {
+        return this == BOXCAR ? Decide::new : (settings, seed, host) ->
+            new Textbook(Textbook.Rule.valueOf(name()), settings, seed, host);
+    }
+
+    /** As a scenario names it. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/host/SidecarHost.java
@@ -0,0 +1,141 @@
+package lemonrail.lab.host;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import lemonrail.assembly.Sidecar;
+import lemonrail.config.ConfigSource;
+import lemonrail.core.Decider;
+import lemonrail.http1.Http1;
+import lemonrail.logging.TextSink;
+
+/** One sidecar: in this process, or a process of its own. */
+interface SidecarHost extends AutoCloseable {
+
+    /** How long a sidecar may take until it is ready. */
+    int READY_MS = 30_000;
+
+    /** Where its callers connect. */
+    InetSocketAddress address();
+
+    /** Processor time that it has used, in ms; NaN where it shares a process. */
+    double cpuMs();
+
+    /** Whether it has ended by itself. */
+    boolean hasCrashed();
+
+    /** Ends it at once, as a kill does. */
+    @Override
+    void close();
+
+    /** A sidecar of this process; it is ready when this returns. */
+    static SidecarHost inside(Path file, Map<String, String> environment, Decider decider, Path log)
+            throws IOException {
+        ConfigSource source = ConfigSource.of(file, environment);
+        PrintStream out = new PrintStream(Files.newOutputStream(log));
+        Sidecar sidecar = Sidecar.create(new Http1(), source, source.load(), new TextSink(out), decider);
+        sidecar.open();
+        return new SidecarHost() {
+            @Override
+            public InetSocketAddress address() {
+                return sidecar.address();
+            }
+
+            @Override
+            public double cpuMs() {
+                return Double.NaN;
+            }
+
+            @Override
+            public boolean hasCrashed() {
+                return false;
+            }
+
+            @Override
+            public void close() {
+                sidecar.stop();
+                out.close();
+            }
+        };
+    }
+
+    /** A sidecar in a process of its own, which has been started and may not be ready yet. */
+    static SidecarHost process(Path jar, Path file, Map<String, String> environment, InetSocketAddress at,
+            Path log) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-Xmx128m", "-jar", jar.toString(), "serve", "--config",
+            file.toString())).redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().putAll(environment);
+        Process process = builder.start();
+        return new SidecarHost() {
+            @Override
+            public InetSocketAddress address() {
+                return at;
+            }
+
+            @Override
+            public double cpuMs() {
+                return process.info().totalCpuDuration().map(Duration::toMillis).orElse(0L);
+            }
+
+            @Override
+            public boolean hasCrashed() {
+                return !process.isAlive();
+            }
+
+            @Override
+            public void close() {
+                process.destroyForcibly();
+                try {
+                    process.waitFor(5, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+    }
+
+    /** Waits until a sidecar says that it is ready. */
+    default void awaitReady() throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        HttpClient client = HttpClient.newHttpClient();
+        URI ready = URI.create("http://" + address().getAddress().getHostAddress() + ":"
+            + address().getPort() + "/health/ready");
+        HttpRequest ask = HttpRequest.newBuilder(ready).timeout(Duration.ofSeconds(1)).build();
+        while (true) {
+            try {
+                if (client.send(ask, HttpResponse.BodyHandlers.discarding()).statusCode() == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                if (hasCrashed()) {
+                    throw new IOException("a sidecar has ended while starting", e);
+                }
+            }
+            if (System.nanoTime() > until) {
+                throw new IOException("a sidecar is not ready after " + READY_MS + " ms");
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** A port that was free a moment ago. */
+    static InetSocketAddress freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/report/Charts.java
@@ -0,0 +1,140 @@
+package lemonrail.lab.report;
+
+import java.awt.Color;
+import java.awt.geom.Rectangle2D;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.text.NumberFormat;
+import java.util.List;
+import java.util.Locale;
+import lemonrail.lab.model.Fault;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.chart.axis.CategoryLabelPositions;
+import org.jfree.chart.axis.LogAxis;
+import org.jfree.chart.axis.NumberAxis;
+import org.jfree.chart.plot.CategoryPlot;
+import org.jfree.chart.plot.IntervalMarker;
+import org.jfree.chart.plot.PlotOrientation;
+import org.jfree.chart.plot.XYPlot;
+import org.jfree.chart.renderer.category.BarRenderer;
+import org.jfree.chart.renderer.category.StandardBarPainter;
+import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
+import org.jfree.chart.ui.Layer;
+import org.jfree.chart.ui.RectangleAnchor;
+import org.jfree.chart.ui.RectangleInsets;
+import org.jfree.chart.ui.TextAnchor;
+import org.jfree.data.category.CategoryDataset;
+import org.jfree.data.xy.XYSeriesCollection;
+import org.jfree.svg.SVGGraphics2D;
+
+/** Draws charts, each as SVG and as PNG. */
+final class Charts {
+
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 420;
+    private static final double LABEL = 3;
+    private static final Color BAND = new Color(230, 120, 60, 45);
+    private static final Color[] LINES = {new Color(31, 119, 180), new Color(214, 39, 40),
+        new Color(44, 160, 44), new Color(148, 103, 189), new Color(255, 127, 14), new Color(23, 190, 207)};
+
+    private final Path folder;
+
+    Charts(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Lines over time in seconds, with the faults as bands behind them. */
+    void overTime(String name, String title, String unit, XYSeriesCollection lines, List<Fault> faults,
+            double untilS) throws IOException {
+        JFreeChart chart = ChartFactory.createXYLineChart(title, "s", unit, lines, PlotOrientation.VERTICAL,
+            true, false, false);
+        XYPlot plot = style(chart);
+        plot.getDomainAxis().setRange(0, untilS);
+        for (int i = 0; i < faults.size(); i++) {
+            Fault fault = faults.get(i);
+            IntervalMarker band = new IntervalMarker(fault.beginMs() / 1000,
+                Math.min(untilS, Math.max(fault.endMs(), fault.beginMs() + 100) / 1000), BAND);
+            band.setLabel(fault.kind().name().toLowerCase(Locale.ROOT).replace('_', ' '));
+            band.setLabelAnchor(RectangleAnchor.TOP_LEFT);
+            band.setLabelTextAnchor(TextAnchor.TOP_LEFT);
+            // Those that begin at once stand one below the other.
+            band.setLabelOffset(new RectangleInsets(LABEL + i * LABEL * 4, LABEL, LABEL, LABEL));
+            plot.addDomainMarker(band, Layer.BACKGROUND);
+        }
+        write(name, chart);
+    }
+
+    /** Lines over numbers; either axis may be logarithmic. */
+    void lines(String name, String title, String x, String y, XYSeriesCollection lines, boolean logX,
+            boolean logY) throws IOException {
+        JFreeChart chart = ChartFactory.createXYLineChart(title, x, y, lines, PlotOrientation.VERTICAL, true,
+            false, false);
+        XYPlot plot = style(chart);
+        ((XYLineAndShapeRenderer) plot.getRenderer()).setDefaultShapesVisible(true);
+        if (logX) {
+            plot.setDomainAxis(log(x));
+        }
+        if (logY) {
+            plot.setRangeAxis(log(y));
+        }
+        write(name, chart);
+    }
+
+    private static LogAxis log(String label) {
+        LogAxis axis = new LogAxis(label);
+        axis.setNumberFormatOverride(NumberFormat.getNumberInstance(Locale.ROOT));
+        return axis;
+    }
+
+    /** A group of bars for each column. */
+    void bars(String name, String title, String unit, CategoryDataset bars, boolean stacked)
+            throws IOException {
+        JFreeChart chart = stacked
+            ? ChartFactory.createStackedBarChart(title, "", unit, bars, PlotOrientation.VERTICAL, true, false,
+                false)
+            : ChartFactory.createBarChart(title, "", unit, bars, PlotOrientation.VERTICAL, true, false,
+                false);
+        CategoryPlot plot = chart.getCategoryPlot();
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+        plot.getDomainAxis().setCategoryLabelPositions(
+            CategoryLabelPositions.UP_45);
+        BarRenderer renderer = (BarRenderer) plot.getRenderer();
+        renderer.setBarPainter(new StandardBarPainter());
+        renderer.setShadowVisible(false);
+        for (int i = 0; i < LINES.length; i++) {
+            renderer.setSeriesPaint(i, LINES[i]);
+        }
+        write(name, chart);
+    }
+
+    private static XYPlot style(JFreeChart chart) {
+        XYPlot plot = chart.getXYPlot();
+        plot.setBackgroundPaint(Color.WHITE);
+        plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+        plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
+        XYLineAndShapeRenderer renderer = new XYLineAndShapeRenderer(true, false);
+        for (int i = 0; i < LINES.length; i++) {
+            renderer.setSeriesPaint(i, LINES[i]);
+        }
+        plot.setRenderer(renderer);
+        if (plot.getRangeAxis() instanceof NumberAxis axis) {
+            axis.setAutoRangeIncludesZero(true);
+        }
+        return plot;
+    }
+
+    private void write(String name, JFreeChart chart) throws IOException {
+        chart.setBackgroundPaint(Color.WHITE);
+        SVGGraphics2D svg = new SVGGraphics2D(WIDTH, HEIGHT);
+        // The same chart gives the same bytes.
+        svg.setDefsKeyPrefix(name);
+        chart.draw(svg, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
+        Files.writeString(folder.resolve(name + ".svg"), svg.getSVGDocument(), StandardCharsets.UTF_8);
+        ChartUtils.saveChartAsPNG(folder.resolve(name + ".png").toFile(), chart, WIDTH, HEIGHT);
+    }
+}
