--- a/lab/src/main/java/lemonrail/lab/host/Relay.java
+++ b/lab/src/main/java/lemonrail/lab/host/Relay.java
@@ -155,13 +155,19 @@
                     side.close();
                 }
             }
+            forget();
+        }
+
+        private void forget() {
+            out.drop();
+            back.drop();
             pairs.remove(this);
         }
 
         void end() {
             near.close();
             far.close();
-            pairs.remove(this);
+            forget();
         }
 
         void resume() {
@@ -260,8 +266,8 @@
             }
         }
 
-        @Override
-        public void handlerRemoved(ChannelHandlerContext ctx) {
+        /** Nothing more passes. */
+        private void drop() {
             held.forEach(piece -> {
                 if (piece.bytes != null) {
                     piece.bytes.release();
