Lab: load in an open loop, and variants compared with an interval by bootstrap

Need: figures that do not lie under overload, and a verdict on whether two variants differ.

Change: 'load' counts from the intended send time, leaves the warm-up out, says how late it was itself and declares such a run void; 'compare' plays variants in turn on the same seeds and tells by a percentile bootstrap over the pairs whether they differ; runs may go side by side.

--- a/lab/src/main/java/lemonrail/lab/Main.java
+++ b/lab/src/main/java/lemonrail/lab/Main.java
@@ -2,6 +2,8 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import lemonrail.lab.cli.CompareCall;
+import lemonrail.lab.cli.LoadCall;
 import lemonrail.lab.cli.RunCall;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -9,7 +11,8 @@
 
 /** The lab's command line. */
 @Command(name = "lemonrail", description = "Stand-ins and load for an edge.", scope = ScopeType.INHERIT,
-    mixinStandardHelpOptions = true, subcommands = {DemoCall.class, RunCall.class})
+    mixinStandardHelpOptions = true, subcommands = {DemoCall.class, RunCall.class, CompareCall.class,
+        LoadCall.class})
 public final class Main {
 
     private Main() {
--- a/lab/src/main/java/lemonrail/lab/cli/RunCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/RunCall.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import lemonrail.lab.report.Verdict;
+import java.util.concurrent.atomic.AtomicBoolean;
 import lemonrail.lab.scenario.Scenario;
 import lemonrail.lab.scenario.ScenarioFile;
 import picocli.CommandLine.Command;
@@ -26,6 +26,10 @@
     @Option(names = "--seeds", paramLabel = "N", description = "seeds 1 to N instead of the scenario's")
     private Integer seeds;
 
+    @Option(names = "--parallel", paramLabel = "N", defaultValue = "1",
+        description = "runs at once (default: ${DEFAULT-VALUE}); a run whose lab is late is void")
+    private int parallel;
+
     @Mixin
     private RunOptions options;
 
@@ -35,22 +39,22 @@
         for (Path file : files) {
             scenarios.add(ScenarioFile.read(file));
         }
-        boolean sound = true;
-        Runner runner = options.runner();
+        List<Runner.Job> jobs = new ArrayList<>();
         for (Scenario scenario : scenarios) {
-            List<Scenario.Variant> chosen = scenario.variants().stream()
-                .filter(variant -> variants.isEmpty() || variants.contains(variant.name())).toList();
-            if (chosen.isEmpty()) {
-                throw new IllegalArgumentException(scenario.file() + ": no such variant: " + variants
-                    + "; it has " + scenario.variants().stream().map(Scenario.Variant::name).toList());
-            }
+            List<Scenario.Variant> chosen = variants.isEmpty() ? scenario.variants()
+                : variants.stream().map(name -> CompareCall.variant(scenario, name)).toList();
             for (int seed = 1; seed <= (seeds == null ? scenario.seeds() : seeds); seed++) {
                 for (Scenario.Variant variant : chosen) {
-                    Verdict verdict = runner.run(scenario, variant, seed).verdict();
-                    sound &= verdict.broken() == 0;
+                    jobs.add(new Runner.Job(scenario, variant, seed));
                 }
             }
         }
-        return sound ? 0 : 1;
+        AtomicBoolean sound = new AtomicBoolean(true);
+        options.runner().all(jobs, parallel, (job, kept) -> {
+            if (kept.verdict().broken() > 0 || kept.isVoid()) {
+                sound.set(false);
+            }
+        });
+        return sound.get() ? 0 : 1;
     }
 }
--- a/lab/src/main/java/lemonrail/lab/cli/Runner.java
+++ b/lab/src/main/java/lemonrail/lab/cli/Runner.java
@@ -7,7 +7,13 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletionService;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorCompletionService;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import lemonrail.lab.host.Played;
 import lemonrail.lab.host.World;
@@ -23,6 +29,8 @@
 final class Runner {
 
     private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** How long runs may take to keep what they have when they are ended. */
+    private static final int KEEP_MS = 20_000;
     private static final long PLAIN_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     /** One run that has been kept. */
@@ -42,10 +50,48 @@
         this.terminal = terminal;
     }
 
+    /** One run that is to be played. */
+    record Job(Scenario scenario, Scenario.Variant variant, long seed) {
+    }
+
+    /** Plays all, so many at once; {@code each} hears of one at a time. */
+    void all(List<Job> jobs, int parallel, BiConsumer<Job, Kept> each)
+            throws IOException, InterruptedException {
+        ExecutorService players = Executors.newFixedThreadPool(parallel);
+        CompletionService<Void> played = new ExecutorCompletionService<>(players);
+        try {
+            for (Job job : jobs) {
+                played.submit(() -> {
+                    Kept kept = run(job.scenario, job.variant, job.seed);
+                    synchronized (each) {
+                        each.accept(job, kept);
+                    }
+                    return null;
+                });
+            }
+            for (int i = 0; i < jobs.size(); i++) {
+                played.take().get();
+            }
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof IOException cause) {
+                throw cause;
+            }
+            throw new IllegalStateException(e.getCause());
+        } finally {
+            players.shutdownNow();
+            players.awaitTermination(KEEP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Where the runs of this version go. */
+    Path folder() {
+        return out.resolve(version());
+    }
+
     /** Plays one run; an interrupted one is kept, marked, and ends the call. */
     Kept run(Scenario scenario, Scenario.Variant variant, long seed)
             throws IOException, InterruptedException {
-        Path folder = out.resolve(scenario.name()).resolve(variant.name() + "-" + seed);
+        Path folder = folder().resolve(scenario.name()).resolve(variant.name() + "-" + seed);
         Files.createDirectories(folder);
         Path scratch = Files.createTempDirectory("lemonrail-lab");
         Thread playing = Thread.currentThread();
@@ -120,7 +166,8 @@
         }
     }
 
-    private static String version() {
+    /** The commit that is played, as far as it is known. */
+    static String version() {
         String version = Runner.class.getPackage().getImplementationVersion();
         return System.getProperty("lemonrail.commit", version == null ? "of a checkout" : version);
     }
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/load/Loads.java
@@ -0,0 +1,70 @@
+package lemonrail.lab.load;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import lemonrail.lab.model.Arrivals;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Plays one load from its first request to its last answer, on a loop of its own. */
+public final class Loads implements AutoCloseable {
+
+    private static final int SHOW_MS = 1000;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        new DefaultThreadFactory("load", true), NioIoHandler.newFactory());
+
+    /** Requests of one form; each has a fresh id, and a fresh key where it is a keyed one. */
+    public static IntFunction<FullHttpRequest> requests(HttpMethod method, String host, String path,
+            Map<String, String> headers, boolean keyed, long seed) {
+        return number -> {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
+                Unpooled.EMPTY_BUFFER);
+            request.headers().set(HttpHeaderNames.HOST, host)
+                .set("X-Request-Id", Long.toHexString(seed) + "-" + number)
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            if (keyed) {
+                request.headers().set("Idempotency-Key", Long.toHexString(seed) + "-" + number);
+            }
+            headers.forEach(request.headers()::set);
+            return request;
+        };
+    }
+
+    /** Plays a load; {@code each} sees the result so far every second. An interrupt ends it early. */
+    public OpenLoop.Result play(InetSocketAddress address, OpenLoop.Plan plan, long seed,
+            IntFunction<FullHttpRequest> requests, Consumer<OpenLoop.Result> each) {
+        EventLoop loop = (EventLoop) group.next();
+        OpenLoop load = new OpenLoop(loop, address, plan,
+            new Arrivals(plan.rate(), plan.spacing(), RandomSource.XO_SHI_RO_256_PP.create(seed)), requests);
+        CountDownLatch over = new CountDownLatch(1);
+        load.start(over::countDown);
+        try {
+            while (!over.await(SHOW_MS, TimeUnit.MILLISECONDS)) {
+                each.accept(loop.submit(load::result).syncUninterruptibly().getNow());
+            }
+        } catch (InterruptedException e) {
+            loop.submit(load::stop).syncUninterruptibly();
+        }
+        return loop.submit(load::result).syncUninterruptibly().getNow();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
