--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -91,6 +91,9 @@
     private final List<InetSocketAddress> addresses = new CopyOnWriteArrayList<>();
     private int ownFiles;
     private boolean sharesLimits;
+    /** A reload is under way, and another is wanted after it. */
+    private boolean reloading;
+    private boolean reloadAgain;
     private Exchange<?, ?> exchange;
 
     private Sidecar(Protocol<?, ?> protocol, ConfigSource source, Loaded loaded, LogSink sink,
@@ -251,19 +254,37 @@
      * from the next start on. A file that cannot be used, or a listener that is taken, changes nothing.
      */
     public void reload() {
-        loop.execute(() -> {
-            try {
-                Loaded next = source.load();
-                if (source instanceof PlatformFile) {
-                    // The platform changes where its discovery is, and nothing else.
-                    adopt(next);
-                } else {
-                    listeners.change(next.config().listeners(), new ListenersChanged(next));
-                }
-            } catch (IOException | RuntimeException e) {
-                reject(e.getMessage());
+        loop.execute(this::reloadNow);
+    }
+
+    private void reloadNow() {
+        if (reloading) {
+            reloadAgain = true;
+            return;
+        }
+        reloading = true;
+        try {
+            Loaded next = source.load();
+            if (source instanceof PlatformFile) {
+                // The platform changes where its discovery is, and nothing else.
+                adopt(next);
+                reloaded();
+            } else {
+                listeners.change(next.config().listeners(), new ListenersChanged(next));
             }
-        });
+        } catch (IOException | RuntimeException e) {
+            reject(e.getMessage());
+            reloaded();
+        }
+    }
+
+    /** A reload that came while listeners were opening has waited for this. */
+    private void reloaded() {
+        reloading = false;
+        if (reloadAgain) {
+            reloadAgain = false;
+            reloadNow();
+        }
     }
 
     private void reject(String why) {
@@ -317,12 +338,17 @@
 
         @Override
         public void done() {
-            adopt(next);
+            try {
+                adopt(next);
+            } finally {
+                reloaded();
+            }
         }
 
         @Override
         public void failed(InetSocketAddress at, Throwable why) {
             reject("cannot listen on " + at + ": " + why.getMessage());
+            reloaded();
         }
     }
 
--- a/edge/src/test/java/lemonrail/assembly/OwnFileTest.java
+++ b/edge/src/test/java/lemonrail/assembly/OwnFileTest.java
@@ -131,6 +131,27 @@
         assertEquals(1, first.requests.stream().map(Wire.Message::line).distinct().count());
     }
 
+    @Test
+    void reloadsThatOverlapWaitForEachOther() throws Exception {
+        start(text("127.0.0.1:0", first, ""));
+        InetSocketAddress now = free();
+        write(text(plain(now), second, ""));
+        edge.loop().execute(() -> {
+            // The second comes before the new listener of the first is open.
+            edge.reload();
+            edge.reload();
+        });
+        Rig.await("both are done", () -> logged().split("configuration read again", -1).length == 3);
+        assertFalse(logged().contains("stays as it was"), logged());
+        assertEquals("second", ask(now).body());
+        InetSocketAddress later = free();
+        write(text(plain(later), first, ""));
+        edge.reload();
+        Rig.await("the third is done", () -> logged().split("configuration read again", -1).length == 4);
+        assertEquals("first", ask(later).body());
+        assertThrows(IOException.class, () -> ask(now), "nobody listens there any more");
+    }
+
     @Test
     void aListenerThatIsTakenChangesNothing() throws Exception {
         start(text("127.0.0.1:0", first, ""));
