Lab: baseline writes its table and charts; layers of the lab held by a test

Change: rows by part into baseline.md, .csv and charts; ArchUnit holds that models use collections and random numbers only, that lower packages know nothing of higher ones, and that only World reads the wall clock (for the start times on discovery's wire).

--- a/lab/src/main/java/lemonrail/lab/cli/BaselineCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/BaselineCall.java
@@ -27,6 +27,7 @@
 import lemonrail.lab.load.OpenLoop;
 import lemonrail.lab.load.Plain;
 import lemonrail.lab.model.Arrivals;
+import lemonrail.lab.report.Baseline;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -41,6 +42,8 @@
 
     private static final int READY_MS = 30_000;
     private static final double TIMEOUT_MS = 5000;
+    /** Connections that are in use at most. */
+    private static final int USED = 64;
     private static final double RAMP_GROWTH = 1.25;
     private static final double RAMP_KEEPS = 0.99;
     private static final double RAMP_P99_MS = 50;
@@ -48,8 +51,9 @@
     private static final int RAMP_CONNECTIONS = 512;
     private static final double RAMP_MOST = 60_000;
 
-    @Option(names = "--out", paramLabel = "FILE", description = "a CSV file for the rows")
-    private Path csv;
+    @Option(names = "--out", paramLabel = "DIR", defaultValue = "lab-runs/baseline",
+        description = "where tables and charts go (default: ${DEFAULT-VALUE})")
+    private Path kept;
 
     @Option(names = "--rate", paramLabel = "N", defaultValue = "1000",
         description = "requests a second where cost is measured (default: ${DEFAULT-VALUE})")
@@ -80,8 +84,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2,
         new DefaultThreadFactory("endpoints", true), NioIoHandler.newFactory());
     private final List<InetSocketAddress> plain = new ArrayList<>();
-    private final StringBuilder rows = new StringBuilder(
-        "what,endpoints,connections,rate,sent,served,p50_ms,p99_ms,p999_ms,cpu_us_per_request,rss_mb,void\n");
+    private final Baseline rows = new Baseline();
     private Path folder;
     private PrintWriter out;
 
@@ -117,30 +120,29 @@
         sideBySide();
         for (int count : endpoints) {
             try (Measured edge = edge(count)) {
-                row("edge", edge, edge.at, count, 64, rate);
+                row(Baseline.Part.ENDPOINTS, "edge", edge, edge.at, count, USED, rate);
             }
         }
         try (Measured edge = edge(10)) {
             for (int count : connections) {
-                List<Socket> held = hold(edge.at, count - 1);
-                row("edge-connections", edge, edge.at, 10, count, rate);
+                List<Socket> held = hold(edge.at, count - Math.min(count, USED));
+                row(Baseline.Part.CONNECTIONS, "edge", edge, edge.at, 10, count, rate);
                 for (Socket socket : held) {
                     socket.close();
                 }
             }
         }
-        if (csv != null) {
-            Files.writeString(csv, rows);
-        }
+        rows.keep(kept, Runner.version());
+        out.println(kept.resolve("baseline.md"));
         return 0;
     }
 
     private void sideBySide() throws IOException, InterruptedException {
         try (Measured edge = edge(10); Measured relay = relay()) {
             for (int i = 0; i < rounds; i++) {
-                row("direct", null, plain.get(0), 1, 64, rate);
-                row("relay", relay, relay.at, 1, 64, rate);
-                row("edge", edge, edge.at, 10, 64, rate);
+                row(Baseline.Part.SIDE_BY_SIDE, "direct", null, plain.get(0), 1, USED, rate);
+                row(Baseline.Part.SIDE_BY_SIDE, "relay", relay, relay.at, 1, USED, rate);
+                row(Baseline.Part.SIDE_BY_SIDE, "edge", edge, edge.at, 10, USED, rate);
             }
             if (!noRamp) {
                 ramp("direct", null, plain.get(0));
@@ -153,7 +155,7 @@
     /** Raises the rate until requests are not served, or late. */
     private void ramp(String what, Measured measured, InetSocketAddress at) throws IOException {
         for (double perSecond = RAMP_FIRST; perSecond <= RAMP_MOST; perSecond *= RAMP_GROWTH) {
-            OpenLoop.Result result = row(what + "-ramp", measured, at,
+            OpenLoop.Result result = row(Baseline.Part.RATE, what, measured, at,
                 what.equals("edge") ? 10 : 1, RAMP_CONNECTIONS, perSecond);
             if (result.isVoid() || result.served() < result.sent() * RAMP_KEEPS
                     || result.percentileMs(99) > RAMP_P99_MS) {
@@ -171,8 +173,8 @@
         return held;
     }
 
-    private OpenLoop.Result row(String what, Measured measured, InetSocketAddress at, int count, int open,
-            double perSecond) throws IOException {
+    private OpenLoop.Result row(Baseline.Part part, String what, Measured measured, InetSocketAddress at,
+            int count, int open, double perSecond) throws IOException {
         double lengthMs = Times.ms("--for", length);
         // The processor's time is read where the warm-up ends, so the whole of it is a run of its own.
         load(at, perSecond, lengthMs / 4, open);
@@ -181,19 +183,19 @@
         double cpuUs = measured == null ? Double.NaN
             : (measured.cpuMs() - before) * 1000 / Math.max(1, result.sent());
         double rss = measured == null ? Double.NaN : measured.residentMb();
-        String row = String.format(Locale.ROOT, "%s,%d,%d,%.0f,%d,%d,%.3f,%.3f,%.3f,%.1f,%.0f,%b", what,
-            count, open, perSecond, result.sent(), result.served(), result.percentileMs(50),
-            result.percentileMs(99),
-            result.percentileMs(99.9), cpuUs, rss, result.isVoid());
-        rows.append(row).append('\n');
-        out.println(row);
+        Baseline.Row row = new Baseline.Row(part, what, count, open, perSecond, result.sent(),
+            result.served(), result.percentileMs(50), result.percentileMs(99), result.percentileMs(99.9),
+            cpuUs, rss, result.isVoid());
+        rows.add(row);
+        out.println(row.csv());
         out.flush();
         return result;
     }
 
     private OpenLoop.Result load(InetSocketAddress at, double perSecond, double lengthMs, int open) {
         try (Loads loads = new Loads()) {
-            return loads.play(at, new OpenLoop.Plan(perSecond, lengthMs, 0, Math.min(open, 512), TIMEOUT_MS,
+            int most = Math.min(open, perSecond > rate ? RAMP_CONNECTIONS : USED);
+            return loads.play(at, new OpenLoop.Plan(perSecond, lengthMs, 0, most, TIMEOUT_MS,
                 Arrivals.Spacing.POISSON), 1, Loads.requests(HttpMethod.GET, "lab", "/api",
                 Map.of("X-Class", "quick", "X-Deadline-Ms", "5000"), false, System.nanoTime()), so -> { });
         }
--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/LabLayersTest.java
@@ -0,0 +1,43 @@
+package lemonrail.lab;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/** The models know neither sockets nor clocks, and lower packages nothing of higher ones. */
+class LabLayersTest {
+
+    private final JavaClasses classes = new ClassFileImporter()
+        .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("lemonrail.lab");
+
+    @Test
+    void modelsUseNothingButCollectionsAndRandomNumbers() {
+        ArchRuleDefinition.classes().that().resideInAPackage("lemonrail.lab.model").should()
+            .onlyDependOnClassesThat().resideInAnyPackage("lemonrail.lab.model", "java.lang..", "java.util",
+                "java.util.function", "java.util.stream", "org.apache.commons.rng").check(classes);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("lemonrail.lab.model").should()
+            .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().belongToAnyOf(Thread.class).check(classes);
+    }
+
+    @Test
+    void lowerPackagesKnowNothingOfHigherOnes() {
+        String[] upwards = {"lemonrail.lab.model", "lemonrail.lab.decider", "lemonrail.lab.scenario",
+            "lemonrail.lab.host", "lemonrail.lab.load", "lemonrail.lab.report", "lemonrail.lab.cli"};
+        for (int i = 0; i < upwards.length; i++) {
+            for (int j = i + 1; j < upwards.length; j++) {
+                ArchRuleDefinition.noClasses().that().resideInAPackage(upwards[i]).should()
+                    .dependOnClassesThat().resideInAPackage(upwards[j]).check(classes);
+            }
+        }
+    }
+
+    @Test
+    void oneClockIsEnough() {
+        ArchRuleDefinition.noClasses().that().doNotHaveSimpleName("World").should()
+            .callMethod(System.class, "currentTimeMillis")
+            .because("clock steps must not move a measurement").check(classes);
+    }
+}
