--- a/lab/src/main/java/lemonrail/lab/cli/CompareCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/CompareCall.java
@@ -27,13 +27,6 @@
         description = "a scenario's file; may be given again")
     private List<Path> files;
 
-    @Option(names = "--seeds", paramLabel = "N", description = "seeds 1 to N instead of the scenario's")
-    private Integer seeds;
-
-    @Option(names = "--parallel", paramLabel = "N", defaultValue = "1",
-        description = "runs at once (default: ${DEFAULT-VALUE}); a run whose lab is late is void")
-    private int parallel;
-
     @Mixin
     private RunOptions options;
 
@@ -45,7 +38,7 @@
         List<Runner.Job> jobs = new ArrayList<>();
         for (Path file : files) {
             Scenario scenario = ScenarioFile.read(file);
-            for (int seed = 1; seed <= (seeds == null ? scenario.seeds() : seeds); seed++) {
+            for (int seed = 1; seed <= options.seeds(scenario); seed++) {
                 for (String name : variants) {
                     jobs.add(new Runner.Job(scenario, variant(scenario, name), seed));
                 }
@@ -54,7 +47,7 @@
         Comparison comparison = new Comparison(variants);
         Runner runner = options.runner();
         try {
-            runner.all(jobs, parallel, (job, kept) -> comparison.add(new Comparison.Entry(
+            runner.all(jobs, (job, kept) -> comparison.add(new Comparison.Entry(
                 job.scenario().name(), job.variant().name(), job.seed(), kept.verdict(), kept.isVoid())));
         } finally {
             // An interrupted comparison keeps what it has.
--- a/lab/src/main/java/lemonrail/lab/cli/RunCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/RunCall.java
@@ -23,13 +23,6 @@
     @Option(names = "--variant", paramLabel = "NAME", description = "only this one; may be given again")
     private List<String> variants = new ArrayList<>();
 
-    @Option(names = "--seeds", paramLabel = "N", description = "seeds 1 to N instead of the scenario's")
-    private Integer seeds;
-
-    @Option(names = "--parallel", paramLabel = "N", defaultValue = "1",
-        description = "runs at once (default: ${DEFAULT-VALUE}); a run whose lab is late is void")
-    private int parallel;
-
     @Mixin
     private RunOptions options;
 
@@ -43,14 +36,14 @@
         for (Scenario scenario : scenarios) {
             List<Scenario.Variant> chosen = variants.isEmpty() ? scenario.variants()
                 : variants.stream().map(name -> CompareCall.variant(scenario, name)).toList();
-            for (int seed = 1; seed <= (seeds == null ? scenario.seeds() : seeds); seed++) {
+            for (int seed = 1; seed <= options.seeds(scenario); seed++) {
                 for (Scenario.Variant variant : chosen) {
                     jobs.add(new Runner.Job(scenario, variant, seed));
                 }
             }
         }
         AtomicBoolean sound = new AtomicBoolean(true);
-        options.runner().all(jobs, parallel, (job, kept) -> {
+        options.runner().all(jobs, (job, kept) -> {
             if (kept.verdict().broken() > 0 || kept.isVoid()) {
                 sound.set(false);
             }
--- a/lab/src/main/java/lemonrail/lab/cli/Runner.java
+++ b/lab/src/main/java/lemonrail/lab/cli/Runner.java
@@ -40,9 +40,11 @@
     private final Path jar;
     private final PrintWriter words;
     private final boolean terminal;
+    private final int parallel;
     private long shownNanos;
 
-    Runner(Path out, Path jar, PrintWriter words, boolean terminal) {
+    Runner(Path out, Path jar, PrintWriter words, boolean terminal, int parallel) {
+        this.parallel = parallel;
         this.out = out;
         this.jar = jar;
         this.words = words;
@@ -54,7 +56,7 @@
     }
 
     /** Plays all, so many at once; {@code each} hears of one at a time. */
-    void all(List<Job> jobs, int parallel, BiConsumer<Job, Kept> each)
+    void all(List<Job> jobs, BiConsumer<Job, Kept> each)
             throws IOException, InterruptedException {
         ExecutorService players = Executors.newFixedThreadPool(parallel);
         CompletionService<Void> played = new ExecutorCompletionService<>(players);
--- a/lab/src/main/java/lemonrail/lab/cli/SweepCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/SweepCall.java
@@ -40,13 +40,6 @@
     @Option(names = "--variant", paramLabel = "NAME", description = "the scenario's first if not given")
     private String variant;
 
-    @Option(names = "--seeds", paramLabel = "N", description = "seeds 1 to N instead of the scenario's")
-    private Integer seeds;
-
-    @Option(names = "--parallel", paramLabel = "N", defaultValue = "1",
-        description = "runs at once (default: ${DEFAULT-VALUE}); a run whose lab is late is void")
-    private int parallel;
-
     @Mixin
     private RunOptions options;
 
@@ -64,7 +57,7 @@
         }
         List<Runner.Job> jobs = new ArrayList<>();
         Map<String, Double> valueOf = new HashMap<>();
-        for (int seed = 1; seed <= (seeds == null ? scenario.seeds() : seeds); seed++) {
+        for (int seed = 1; seed <= options.seeds(scenario); seed++) {
             for (double value : values) {
                 String name = base.name() + "-" + key + "-" + plain(value);
                 valueOf.put(name, value);
@@ -75,7 +68,7 @@
         Runner runner = options.runner();
         Path folder = runner.folder().resolve("sweep-" + scenario.name() + "-" + key);
         try {
-            runner.all(jobs, parallel, (job, kept) -> {
+            runner.all(jobs, (job, kept) -> {
                 if (!kept.isVoid()) {
                     sweep.add(valueOf.get(job.variant().name()), kept.verdict());
                 }
