--- a/lab/src/main/java/lemonrail/lab/Demo.java
+++ b/lab/src/main/java/lemonrail/lab/Demo.java
@@ -77,7 +77,7 @@
             List.of(new Scenario.Tier("stand-in", count, SLOTS, 1, 1, SLOTS, 0, CONNECTIONS, 0, 1,
                 RACK_WINDOW_MS, 1, 0, ColdStart.NONE, Crowding.NONE, false)),
             new Scenario.Discovery(true, 1000, 0, 0), new Scenario.Sidecars(1, false), plain, plain, faults,
-            List.of(new Scenario.Variant("demo", Deciders.BOXCAR, Map.of(), null)));
+            List.of(new Scenario.Variant("demo", Deciders.BOXCAR.decider(), Map.of(), null)));
     }
 
     /** Runs to its end, or until its thread is interrupted, and tells what came of all. */
--- a/lab/src/main/java/lemonrail/lab/host/Relay.java
+++ b/lab/src/main/java/lemonrail/lab/host/Relay.java
@@ -30,7 +30,7 @@
 public final class Relay implements AutoCloseable {
 
     /** After so long a sender's system repeats a lost segment; RFC 6298 has a longer least time-out. */
-    private static final double REPEAT_MS = 200;
+    static final double REPEAT_MS = 200;
     /** Bytes on their way each way; beyond it the sender is not read. */
     private static final int MOST_HELD_BYTES = 256 * 1024;
     private static final double NANOS = 1e6;
--- a/lab/src/main/java/lemonrail/lab/model/Endpoint.java
+++ b/lab/src/main/java/lemonrail/lab/model/Endpoint.java
@@ -155,10 +155,9 @@
         taken++;
         work.slotted = true;
         if (work.key() != null && !rack.begin(work.key())) {
-            // A repeat of what this rack has begun: it is answered, and has no second effect.
-            work.over = true;
-            free(work);
-            work.answered(Work.Answer.SERVED);
+            // A repeat of what this rack has begun: it is answered at no work, and has no second effect.
+            work.repeat = true;
+            run(work, 0);
             return;
         }
         work.began();
@@ -184,7 +183,7 @@
 
     /** A part of a request's work is done, or a call of it has come back. */
     private void advance(Work work, boolean called) {
-        if (work.takeCall()) {
+        if (!work.repeat && work.takeCall()) {
             work.call(served -> {
                 if (!work.over) {
                     settle();
--- a/lab/src/main/java/lemonrail/lab/model/Work.java
+++ b/lab/src/main/java/lemonrail/lab/model/Work.java
@@ -17,6 +17,7 @@
     double target;
     long number;
     boolean slotted;
+    boolean repeat;
     boolean over;
 
     /**
--- a/lab/src/main/java/lemonrail/lab/scenario/Scenario.java
+++ b/lab/src/main/java/lemonrail/lab/scenario/Scenario.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import lemonrail.lab.decider.Deciders;
+import lemonrail.core.Decider;
 import lemonrail.lab.model.Arrivals;
 import lemonrail.lab.model.Clients.Retrying;
 import lemonrail.lab.model.EndpointShape.ColdStart;
@@ -111,9 +111,10 @@
     /**
      * One of those that are compared.
      *
+     * @param decider of sidecars inside; processes have their build's own
      * @param set keys of the edge's file that have another value, as in {@code limits.attempts = 2}
      * @param jar another build of the edge, or null
      */
-    public record Variant(String name, Deciders decider, Map<String, String> set, Path jar) {
+    public record Variant(String name, Decider decider, Map<String, String> set, Path jar) {
     }
 }
--- a/lab/src/main/java/lemonrail/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/lemonrail/lab/scenario/ScenarioFile.java
@@ -383,11 +383,11 @@
             } else if (jar != null && !Files.isRegularFile(folder.resolve(jar))) {
                 section.contradicts(JAR, "there is no such file");
             }
-            variants.add(new Scenario.Variant(name, decider, settings(section.get(SET)),
-                jar == null ? null : folder.resolve(jar).normalize()));
+            variants.add(new Scenario.Variant(name, decider == null ? null : decider.decider(),
+                settings(section.get(SET)), jar == null ? null : folder.resolve(jar).normalize()));
         }
         if (variants.isEmpty()) {
-            variants.add(new Scenario.Variant("boxcar", Deciders.BOXCAR, Map.of(), null));
+            variants.add(new Scenario.Variant("boxcar", Deciders.BOXCAR.decider(), Map.of(), null));
         }
         return variants;
     }
--- a/lab/src/test/java/lemonrail/lab/model/EndpointTest.java
+++ b/lab/src/test/java/lemonrail/lab/model/EndpointTest.java
@@ -91,6 +91,19 @@
             "far SERVED 160", "late began 10001", "late SERVED 10101"), seen);
     }
 
+    @Test
+    void aHangingEndpointAnswersNoRepeatsEither() {
+        Endpoint endpoint = endpoint(9, 0, ColdStart.NONE, Crowding.NONE);
+        endpoint.offer(work("a", "k", 100, 1));
+        endpoint.hang(true);
+        endpoint.offer(work("repeat", "k", 100, 1));
+        agenda.runUntil(1000);
+        assertEquals(List.of("a began 0"), seen);
+        endpoint.hang(false);
+        agenda.runUntil(2000);
+        assertEquals(List.of("a began 0", "repeat SERVED 1000", "a calls 1050", "a SERVED 1130"), seen);
+    }
+
     @Test
     void coldByTimeItDoesAsMuchAsItsWarmthSays() {
         Endpoint endpoint = endpoint(1, 5, new ColdStart(0.2, 1000, Warming.TIME, 99, 3000), Crowding.NONE);
