--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -340,9 +340,10 @@
         public void done() {
             try {
                 adopt(next);
-            } finally {
-                reloaded();
+            } catch (RuntimeException e) {
+                reject(e.getMessage());
             }
+            reloaded();
         }
 
         @Override
--- a/edge/src/main/java/lemonrail/config/ValueType.java
+++ b/edge/src/main/java/lemonrail/config/ValueType.java
@@ -103,7 +103,7 @@
     }
 
     /** Bytes. */
-    public static ValueType<Long> size(long least, long most) {
+    static ValueType<Long> size(long least, long most) {
         return new ValueType<>("string", "a size with its unit (B, KiB, MiB or GiB), as in \"64KiB\", from "
             + (least >> 20) + "MiB to " + (most >> 30) + "GiB", node -> {
                 Matcher parts = SIZE.matcher(node.isTextual() ? node.textValue() : "");
@@ -116,7 +116,7 @@
     }
 
     /** An address of IP and port. */
-    public static ValueType<InetSocketAddress> address(int leastPort) {
+    static ValueType<InetSocketAddress> address(int leastPort) {
         return new ValueType<>("string", "an IP address and a port from " + leastPort
             + " to 65535, as in \"127.0.0.1:9000\"", node -> {
                 String text = node.isTextual() ? node.textValue() : "";
@@ -147,7 +147,7 @@
     }
 
     /** A list of short names. */
-    public static ValueType<List<String>> words(int most) {
+    static ValueType<List<String>> words(int most) {
         return new ValueType<>("array", "a list of 1 to " + most + " different words, as in [\"a\", \"b\"]",
             node -> {
                 List<String> words = new ArrayList<>();
--- a/lab/src/main/java/lemonrail/lab/model/Clients.java
+++ b/lab/src/main/java/lemonrail/lab/model/Clients.java
@@ -50,6 +50,8 @@
 
     private final Agenda agenda;
     private final Shape shape;
+    private final double[] kindShares;
+    private final double[] tenantShares;
     private final Arrivals arrivals;
     private final UniformRandomProvider random;
     private final Sender sender;
@@ -65,6 +67,8 @@
             UniformRandomProvider random, Sender sender) {
         this.agenda = agenda;
         this.shape = shape;
+        kindShares = shape.kinds.stream().mapToDouble(Kind::share).toArray();
+        tenantShares = shape.tenantShares.stream().mapToDouble(share -> share).toArray();
         this.arrivals = arrivals;
         this.lengthMs = lengthMs;
         this.random = random;
@@ -96,8 +100,8 @@
     }
 
     private void begin(double atMs) {
-        int kind = draw(shape.kinds.stream().mapToDouble(Kind::share).toArray());
-        int tenant = draw(shape.tenantShares.stream().mapToDouble(share -> share).toArray());
+        int kind = draw(kindShares);
+        int tenant = draw(tenantShares);
         Kind of = shape.kinds.get(kind);
         double work = of.workMs * (shape.exponentialWork ? -Math.log1p(-random.nextDouble()) : 1);
         Ask ask = new Ask(asks.size(), atMs, kind, tenant, work,
--- a/lab/src/main/java/lemonrail/lab/report/Judge.java
+++ b/lab/src/main/java/lemonrail/lab/report/Judge.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToIntFunction;
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.Tenant;
 import lemonrail.lab.host.Played;
@@ -149,7 +150,7 @@
         return worst;
     }
 
-    private double worstOf(List<Ask> asks, int groups, java.util.function.ToIntFunction<Ask> group) {
+    private double worstOf(List<Ask> asks, int groups, ToIntFunction<Ask> group) {
         double worst = 1;
         for (int i = 0; i < groups; i++) {
             int place = i;
--- a/lab/src/test/java/lemonrail/lab/scenario/ScenarioFileTest.java
+++ b/lab/src/test/java/lemonrail/lab/scenario/ScenarioFileTest.java
@@ -60,6 +60,10 @@
         "decider = \"random\"  | set = \"attempts\"  | variants[1].set      | settings of the edge",
         "decider = \"random\"  | jar = \"x.jar\"     | variants[1].jar      | only where sidecars.run",
         "name = \"random\"     | name = \"boxcar\"   | variants[1].name     | is there twice",
+        "decider = \"random\"  | set = \"limits.atempts=2\" | variants[1].set | limits.atempts is no key",
+        "decider = \"random\"  | set = \"limits.attempts=x\" | variants[1].set | a whole number",
+        "class = \"quote-issue\" | class = \"quote\" | requests[1].class | which are [quote-preview",
+        "name = \"north\"      | name = \"nobody\"   | tenants[1].name      | which are [central, north",
         "seeds = 3             | edge = \"none\"     | edge                 | there is no such file",
     })
     void whatIsWrongIsNamedWithItsLine(String right, String wrong, String key, String why)
