Keep watches on discovery short: one that fell silent was noticed after 22 s

All 11 sidecars lost their first watch alike. Ruled out: decisions on health and limits, which did what they should with the four endpoints they knew. At fault: WAIT_MS and SILENCE_MS of DiscoveryClient (20 s and 2 s), a first call whose silence was counted from before the warm-up, and a pause after failures that was the same everywhere.

Change: WatchPace in core settles how long a call waits (1 s; in fleets of over 100 so that all calls together stay under 100 a second), how long silence is borne (0.5 s) and the pause after a failure (spread by seed, doubling to 1 s). discovery.wait overrides it. Silence counts from the call's writing. Where a version goes back without a whole list, the whole list is asked for.

--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -25,6 +25,7 @@
 import lemonrail.config.Loaded;
 import lemonrail.config.PlatformFile;
 import lemonrail.core.Decider;
+import lemonrail.core.WatchPace;
 import lemonrail.core.policy.Decide;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.exchange.Exchange;
@@ -186,10 +187,11 @@
         shard = new Shard(loop, clock, log, metrics, budget, lifecycle, config.settings(),
             config.idleCloseMs());
         discovery = config.discovery() == null ? null
-            : new DiscoveryClient(loop, config.discovery(), config.names(), log);
+            : new DiscoveryClient(loop, config.discovery(), config.names(), config.known().version(),
+                pace(), log);
         connect(protocol, half);
         if (discovery != null) {
-            discovery.listen(exchange, config.known().version());
+            discovery.listen(exchange);
         }
         door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
         metrics.gauge("log_dropped", sink::dropped);
@@ -199,6 +201,12 @@
         loop.scheduleWithFixedDelay(this::lookRound, LOOK_ROUND_MS, LOOK_ROUND_MS, TimeUnit.MILLISECONDS);
     }
 
+    private WatchPace pace() {
+        return config.discoveryWaitMs() == null
+            ? WatchPace.ofFleet(config.settings().balancers(), config.seed())
+            : new WatchPace(config.discoveryWaitMs().intValue(), config.seed());
+    }
+
     private <M extends Message, A> void connect(Protocol<M, A> spoken, int half) {
         Upstream<M, A> upstream = spoken.upstream(shard, half);
         Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, decider, config.seed(),
--- a/edge/src/main/java/lemonrail/config/EdgeConfig.java
+++ b/edge/src/main/java/lemonrail/config/EdgeConfig.java
@@ -15,6 +15,7 @@
  * @param listeners where clients connect
  * @param admin where operators call, or null where they have no door
  * @param discovery where the list of endpoints is watched, or null where it is fixed
+ * @param discoveryWaitMs how long a call there waits for news, or null where the fleet's size says so
  * @param folder where what outlives the process is kept
  * @param seed for random numbers
  * @param memoryMb the memory that the edge's processes may take together, in MiB
@@ -24,8 +25,8 @@
  * @param known the list of endpoints: the fixed one, or as it was last known
  */
 public record EdgeConfig(String name, List<InetSocketAddress> listeners, InetSocketAddress admin,
-        InetSocketAddress discovery, Path folder, long seed, double memoryMb, int sockets,
-        double idleCloseMs, ServerList.Names names, ServerList known, Settings settings,
+        InetSocketAddress discovery, Double discoveryWaitMs, Path folder, long seed, double memoryMb,
+        int sockets, double idleCloseMs, ServerList.Names names, ServerList known, Settings settings,
         LogSettings logging) {
 
     /** A file of this edge's own, which its next process finds as well. */
--- a/edge/src/main/java/lemonrail/config/PlatformFile.java
+++ b/edge/src/main/java/lemonrail/config/PlatformFile.java
@@ -19,6 +19,7 @@
 
     private static final String DOOR_VARIABLE = "GW_MGMT";
     private static final String FOLDER_VARIABLE = "TMPDIR";
+    private static final String WAIT_VARIABLE = "LEMONRAIL_DISCOVERY_WAIT";
 
     @Override
     public Loaded load() throws IOException {
@@ -62,7 +63,7 @@
             words("settings.models", settings.get("models")));
         return new EdgeConfig(String.valueOf(config.get("name")),
             List.of(ServerList.address("listen", config.get("listen"))), door(config.get("mgmt")),
-            ServerList.address("discovery", config.get("discovery")), folder(environment),
+            ServerList.address("discovery", config.get("discovery")), discoveryWaitMs(), folder(environment),
             seed(config.get("seed")), positive("limits.memory_mb", limit(config, "memory_mb")),
             (int) positive("limits.sockets", limit(config, "sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
@@ -82,6 +83,21 @@
         return variable.isBlank() ? null : ServerList.address(DOOR_VARIABLE, variable);
     }
 
+    /** Read like the key of the operators' file, whose reader is loaded only where the variable is set. */
+    private Double discoveryWaitMs() {
+        String text = environment.get(WAIT_VARIABLE);
+        if (text == null) {
+            return null;
+        }
+        ValueType<Double> type = Schema.DISCOVERY_WAIT.type();
+        Double waitMs = type.read().apply(new ValueType.Variable(text));
+        if (waitMs == null) {
+            throw new ConfigException(List.of(new Problem(file, 0, WAIT_VARIABLE, text,
+                "must be " + type.allowed())));
+        }
+        return waitMs;
+    }
+
     /** Where what outlives the process is kept, unless a file says otherwise. */
     static Path folder(Map<String, String> environment) {
         String named = environment.getOrDefault(FOLDER_VARIABLE, "");
--- a/edge/src/main/java/lemonrail/config/PlatformValues.java
+++ b/edge/src/main/java/lemonrail/config/PlatformValues.java
@@ -27,6 +27,10 @@
                 ? "environment GW_MGMT, or " + all.json : all.json, false);
         }
         all.add("discovery.address", config.discovery(), all.json, true);
+        if (config.discoveryWaitMs() != null) {
+            all.add("discovery.wait", config.discoveryWaitMs() + "ms", "environment LEMONRAIL_DISCOVERY_WAIT",
+                false);
+        }
         for (RequestClass kind : config.settings().classes()) {
             all.put("classes." + kind.name(), kind.effect() + ", aim " + kind.aimMs() + "ms, deadline "
                 + kind.deadlineMs() + "ms, worth " + kind.worth());
--- a/edge/src/main/java/lemonrail/config/Schema.java
+++ b/edge/src/main/java/lemonrail/config/Schema.java
@@ -35,6 +35,8 @@
         "where operators call; without it there is no door");
     static final Key<InetSocketAddress> DISCOVERY = Key.optional("address", ValueType.address(1), null,
         "where the list of endpoints is watched").changeable();
+    static final Key<Double> DISCOVERY_WAIT = Key.optional("wait", ValueType.duration(100, MINUTE_MS), null,
+        "how long a call waits for news; if not given 1s, or 10ms for each balancer, up to 20s");
 
     static final Key<String> ENDPOINT_ID = Key.required("id", ValueType.word(), "its name").changeable();
     static final Key<InetSocketAddress> ENDPOINT = Key.required("address", ValueType.address(1),
@@ -131,7 +133,7 @@
         List.of(LISTENER, PROTOCOL));
     static final Table DOOR = new Table("admin", 0, "the operators' door", List.of(ADMIN));
     static final Table LIST = new Table("discovery", 0, "a list of endpoints that is watched",
-        List.of(DISCOVERY));
+        List.of(DISCOVERY, DISCOVERY_WAIT));
     static final Table ENDPOINTS = new Table("endpoints", 1024,
         "a fixed list, or the one to start from where there is discovery", List.of(ENDPOINT_ID, ENDPOINT,
             ENDPOINT_ZONE, ENDPOINT_RACK, ENDPOINT_WEIGHT, ENDPOINT_STATE));
--- a/edge/src/main/java/lemonrail/config/TomlReading.java
+++ b/edge/src/main/java/lemonrail/config/TomlReading.java
@@ -46,7 +46,9 @@
         Integer seed = top.get(Schema.SEED);
         List<InetSocketAddress> listeners = listeners();
         InetSocketAddress admin = admin();
-        InetSocketAddress discovery = document.one(Schema.LIST).get(Schema.DISCOVERY);
+        Section list = document.one(Schema.LIST);
+        InetSocketAddress discovery = list.get(Schema.DISCOVERY);
+        Double discoveryWaitMs = list.get(Schema.DISCOVERY_WAIT);
         Section fleet = document.one(Schema.FLEET);
         List<String> zones = fleet.get(Schema.ZONES);
         int ownZone = ownZone(fleet, zones);
@@ -89,7 +91,7 @@
         Settings settings = new Settings(balancers, number, ownZone, tier, false, weighted, overShare,
             crossZone, classes, tenants, new Limits(attempts, false, true, retryAfterMs, connectMs),
             new Rules(coldShare, coldMs, tip, tipMs, graceMs, NEVER_MS));
-        return new EdgeConfig(name, listeners, admin, discovery,
+        return new EdgeConfig(name, listeners, admin, discovery, discoveryWaitMs,
             folder == null ? PlatformFile.folder(environment) : Path.of(folder),
             seed == null ? ThreadLocalRandom.current().nextLong() : seed, memory / (double) (1 << 20),
             descriptors, idleMs, new ServerList.Names(zones, List.of()),
--- a/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
+++ b/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
@@ -26,6 +26,7 @@
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import lemonrail.core.WatchPace;
 import lemonrail.logging.EventLog;
 import lemonrail.net.Sockets;
 
@@ -35,42 +36,44 @@
  */
 public final class DiscoveryClient {
 
-    /** How long discovery is asked to wait for news. */
-    private static final int WAIT_MS = 20_000;
-    /** Silence for so long after that wait is a failure. */
-    private static final int SILENCE_MS = 2_000;
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
     /** What comes of the watch. */
     public interface Listener {
         void listed(ServerList list);
 
-        void failed();
+        /** The watch has ended; where nothing else says when, it is to go on after this pause. */
+        void failed(double pauseMs);
     }
 
     private final EventLoop loop;
     private final ServerList.Names names;
+    private final WatchPace pace;
     private final EventLog log;
     private final Bootstrap bootstrap;
     private Listener listener;
     private InetSocketAddress address;
     /** What is known of the list at this address; none calls for the whole of it. */
-    private OptionalLong version = OptionalLong.empty();
+    private OptionalLong version;
     private Channel channel;
-    /** Set while a call is out. */
+    /** A call is on its way, though it may still wait for its connection. */
+    private boolean calling;
+    /** Ends a call that has been written and gets no answer. */
     private Future<?> silence;
 
-    /** A client of the discovery at this address; {@link #listen} comes before {@link #watch}. */
-    public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names,
-            EventLog log) {
+    /** A client of the discovery at this address, where the list of the known version is from. */
+    public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names, long known,
+            WatchPace pace, EventLog log) {
         this.loop = loop;
         this.address = address;
         this.names = names;
+        this.version = OptionalLong.of(known);
+        this.pace = pace;
         this.log = log.in("discovery");
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SILENCE_MS)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, WatchPace.silenceMs())
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel fresh) {
@@ -80,10 +83,9 @@
             });
     }
 
-    /** Who hears of lists, and which version is known already. */
-    public void listen(Listener hearer, long known) {
+    /** Who hears of lists. */
+    public void listen(Listener hearer) {
         listener = hearer;
-        version = OptionalLong.of(known);
     }
 
     /**
@@ -103,11 +105,10 @@
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
     public void watch() {
-        if (silence != null) {
+        if (calling) {
             return;
         }
-        silence = loop.schedule(() -> fail("no answer in time"),
-            (version.isPresent() ? WAIT_MS : 0) + SILENCE_MS, TimeUnit.MILLISECONDS);
+        calling = true;
         if (channel != null && channel.isActive()) {
             ask();
             return;
@@ -127,9 +128,12 @@
     }
 
     private void ask() {
+        // Counted from here: at the start the loop may be busy for long between a call's connection and it.
+        silence = loop.schedule(() -> fail("no answer in time"),
+            (version.isPresent() ? pace.waitMs() : 0) + WatchPace.silenceMs(), TimeUnit.MILLISECONDS);
         FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
             "/registry/instances" + (version.isPresent()
-                ? "?index=" + version.getAsLong() + "&wait=" + WAIT_MS : ""), Unpooled.EMPTY_BUFFER);
+                ? "?index=" + version.getAsLong() + "&wait=" + pace.waitMs() : ""), Unpooled.EMPTY_BUFFER);
         call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         channel.writeAndFlush(call);
     }
@@ -138,7 +142,7 @@
         dropConnection();
         if (callEnded()) {
             log.trouble("discovery_failed", "discovery failed", why, "address", address);
-            listener.failed();
+            listener.failed(pace.failed());
         }
     }
 
@@ -152,12 +156,13 @@
 
     /** No call is out from here on; true if one was. */
     private boolean callEnded() {
-        if (silence == null) {
-            return false;
+        boolean called = calling;
+        calling = false;
+        if (silence != null) {
+            silence.cancel(false);
+            silence = null;
         }
-        silence.cancel(false);
-        silence = null;
-        return true;
+        return called;
     }
 
     private final class Calls extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -168,7 +173,11 @@
                 ctx.close();
                 return;
             }
-            if (answer.status().code() != 200 || answer.decoderResult().isFailure()) {
+            if (answer.decoderResult().isFailure()) {
+                fail(answer.decoderResult().cause());
+                return;
+            }
+            if (answer.status().code() != 200) {
                 fail("status " + answer.status().code());
                 return;
             }
@@ -180,7 +189,10 @@
                 return;
             }
             callEnded();
-            version = OptionalLong.of(list.version());
+            pace.answered();
+            boolean restarted = !list.full() && version.isPresent() && list.version() < version.getAsLong();
+            // Versions are counted anew: changes since another count's version would not be all there are.
+            version = restarted ? OptionalLong.empty() : OptionalLong.of(list.version());
             if (!HttpUtil.isKeepAlive(answer)) {
                 channel = null;
                 ctx.close();
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -41,9 +41,6 @@
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
-    /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
-    private static final int AGENT_PAUSE_MS = 100;
-
     /** A large body of which an endpoint takes nothing for so long is given up. */
     private static final int UPLOAD_STALL_MS = 4000;
     /** The same for a large answer of which an endpoint sends or a client takes nothing. */
@@ -234,11 +231,11 @@
     }
 
     @Override
-    public void failed() {
+    public void failed(double pauseMs) {
         if (settings.asksForList()) {
             raise(null, now -> module.onServers(now, ListKind.FAILED, List.of()));
         } else {
-            after(AGENT_PAUSE_MS, watch);
+            after(pauseMs, watch);
         }
     }
 
--- a/edge/src/test/java/lemonrail/assembly/Rig.java
+++ b/edge/src/test/java/lemonrail/assembly/Rig.java
@@ -35,6 +35,7 @@
     int askWithinMs = 600_000;
     int sockets = 1024;
     int aimMs = 9000;
+    int discoveryWaitMs = 20_000;
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -77,7 +78,8 @@
         configFile = Files.writeString(Files.createTempFile("config", ".json"), config());
         folder = folder == null ? Files.createTempDirectory("sidecar") : folder;
         PlatformFile source = new PlatformFile(configFile,
-            Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0"));
+            Map.of("TMPDIR", folder.toString(), "GW_MGMT", "127.0.0.1:0",
+                "LEMONRAIL_DISCOVERY_WAIT", discoveryWaitMs + "ms"));
         sidecar = Sidecar.create(new Http1(), source, source.load(),
             new TextSink(new PrintStream(log, true, StandardCharsets.UTF_8)));
         sidecar.open();
--- a/edge/src/test/java/lemonrail/assembly/SidecarTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SidecarTest.java
@@ -349,6 +349,40 @@
         assertTrue(rig.logged().contains("discovery failed"), rig.logged());
     }
 
+    /** Guards against trust in a watch that has fallen silent: the next one tells what it would have. */
+    @Test
+    void aWatchThatFellSilentIsGivenUpSoonAfterItsWait() throws Exception {
+        Fake before = good();
+        Fake after = good();
+        rig = new Rig(before);
+        rig.askWithinMs = 20;
+        rig.discoveryWaitMs = 100;
+        rig.discovery.script = (wire, request) -> {
+            if (rig.discovery.requests.size() > 1) {
+                Fake.answer(wire, 200, "", Rig.list(7, true, Rig.line(1, after.address(), "in_service", 0)));
+                rig.discovery.script = (next, call) -> next.awaitEnd();
+            }
+        };
+        rig.start();
+        Rig.await("the list is there", () -> rig.discovery.requests.size() >= 3);
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(1, after.requests.size());
+        assertTrue(rig.logged().contains("discovery failed: no answer in time"), rig.logged());
+        after.close();
+    }
+
+    /** Guards against changes since a version of another count, which would not be all there are. */
+    @Test
+    void theWholeListIsAskedForWhereVersionsGoBack() throws Exception {
+        rig = new Rig(good());
+        rig.askWithinMs = 20;
+        LinkedBlockingQueue<String> answers = discovering();
+        rig.start();
+        answers.add(Rig.list(0, false));
+        Rig.await("the next call is made", () -> rig.discovery.requests.size() == 2);
+        assertEquals("GET /registry/instances HTTP/1.1", rig.discovery.requests.get(1).line());
+    }
+
     /** Guards against connections to a process that is no more, on which a request would be reset. */
     @ParameterizedTest
     @CsvSource({"true,0", "false,1000"})
