Lab: a fleet of deciders before many endpoints on virtual time, held to the four rules

Change: Fleet (test code) runs 1 to 50 Decide instances before the lab's endpoints (8 to 250) in one thread, seeded, with discovery's agents, watches by WatchPace, kept connections and their handshakes, and asserts the four rules in each of them. It counts connections per endpoint, attempts a request, calls to discovery a second, unevenness and crowding.

--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/fleet/Fleet.java
@@ -0,0 +1,487 @@
+package lemonrail.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import lemonrail.core.Contract.Actions;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.Limits;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.Load;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Request;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
+import lemonrail.core.WatchPace;
+import lemonrail.core.policy.Decide;
+import lemonrail.lab.model.Agenda;
+import lemonrail.lab.model.Endpoint;
+import lemonrail.lab.model.EndpointShape;
+import lemonrail.lab.model.Rack;
+import lemonrail.lab.model.Registry;
+import lemonrail.lab.model.VirtualAgenda;
+import lemonrail.lab.model.Work;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Many deciders before many endpoints in one thread and on virtual time: it counts over the whole fleet and
+ * holds each decider to the four rules.
+ */
+final class Fleet {
+
+    /** The deciders' clock when the world begins: a start time of 0 is the distant past to them. */
+    static final double EPOCH_MS = 1_000_000;
+    static final double AIM_MS = 2000;
+    static final double DEADLINE_MS = 5000;
+    private static final double KEY_WINDOW_MS = 4000;
+    private static final double GRACE_MS = 1000;
+    private static final double SLACK_MS = 20;
+    private static final double NET_MS = 0.5;
+    private static final double CONNECT_TIMEOUT_MS = 250;
+    private static final double IDLE_MS = 15_000;
+    private static final double MEAN_WORK_MS = 80;
+    /** What the next tier takes, while the endpoint keeps the request's slot. */
+    private static final double DOWNSTREAM_MS = 250;
+    private static final double COLD_SHARE = 0.2;
+    private static final double COLD_MS = 15_000;
+    private static final double TIP_MULTIPLE = 3;
+    private static final double TIP_MS = 3000;
+    private static final int RACK_SIZE = 8;
+
+    final VirtualAgenda agenda = new VirtualAgenda();
+    final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    final List<Member> members = new ArrayList<>();
+    final Registry registry;
+    private final SplittableRandom random;
+    private final List<Rack> racks = new ArrayList<>();
+    private final double perSecond;
+    private final Map<String, Integer> open = new HashMap<>();
+    private final Map<String, Integer> mostOpen = new HashMap<>();
+    private final Map<String, Integer> served = new HashMap<>();
+    private final TreeMap<Long, Integer> listCalls = new TreeMap<>();
+    private int named;
+    int firstTries;
+    int attempts;
+    int servedInTime;
+    int refused;
+    int failed;
+    int handshakes;
+    /** What breaks a rule, in words. */
+    final List<String> breaks = new ArrayList<>();
+
+    /** So many deciders and warm endpoints, with this part of what the endpoints can do asked for. */
+    Fleet(int deciders, int servers, double load, long seed) {
+        random = new SplittableRandom(seed);
+        registry = new Registry(agenda, RandomSource.XO_SHI_RO_256_PP.create(seed), true, 0, 200, 1500);
+        perSecond = load * servers * 1000 / MEAN_WORK_MS;
+        for (int i = 0; i < servers; i++) {
+            add(false);
+        }
+        for (int i = 0; i < deciders; i++) {
+            members.add(new Member(i, deciders, random.nextLong()));
+        }
+    }
+
+    /** One more endpoint, which is told of; cold or as if it had run for long. */
+    String add(boolean cold) {
+        String id = "e" + Long.toHexString(random.nextLong() >>> 32) + named++;
+        if (named % RACK_SIZE == 1) {
+            racks.add(new Rack(agenda, KEY_WINDOW_MS));
+        }
+        Endpoint endpoint = new Endpoint(agenda, new EndpointShape(id, racks.size() - 1, 1, 1, 20, 20, 600, 2,
+            new EndpointShape.ColdStart(COLD_SHARE, COLD_MS, EndpointShape.Warming.TIME, TIP_MULTIPLE,
+                TIP_MS),
+            new EndpointShape.Crowding(7, 2500, 2.5, 3500, 25_000)), racks.get(racks.size() - 1));
+        endpoints.put(id, endpoint);
+        if (cold) {
+            endpoint.start();
+        }
+        tell(id, Registry.State.IN_SERVICE);
+        return id;
+    }
+
+    void tell(String id, Registry.State state) {
+        registry.set(new Registry.Line(id, state, endpoints.get(id).startedMs()));
+    }
+
+    /** Drains an endpoint, which ends soon after; another, cold one comes in its place. */
+    void replace(String id) {
+        endpoints.get(id).drain(true);
+        tell(id, Registry.State.TERMINATING);
+        agenda.after(6000, () -> {
+            endpoints.get(id).vanish();
+            tell(id, Registry.State.TERMINATED);
+        });
+        agenda.after(1500, () -> add(true));
+    }
+
+    /** Has requests come to all deciders for so long, then waits until all are answered. */
+    void play(double untilMs) {
+        arrive(untilMs);
+        agenda.runUntil(untilMs + DEADLINE_MS + 2 * TIP_MS);
+        members.forEach(Member::end);
+        endpoints.forEach((id, endpoint) -> {
+            if (endpoint.hasFallen()) {
+                breaks.add(id + " was sent too much while cold");
+            }
+        });
+    }
+
+    private void arrive(double untilMs) {
+        agenda.after(-Math.log1p(-random.nextDouble()) * 1000 / perSecond, () -> {
+            if (agenda.nowMs() < untilMs) {
+                members.get(random.nextInt(members.size())).request();
+                arrive(untilMs);
+            }
+        });
+    }
+
+    // ---- counts over the fleet ----
+
+    double servedShare() {
+        return (double) servedInTime / firstTries;
+    }
+
+    double attemptsPerTry() {
+        return (double) attempts / firstTries;
+    }
+
+    int mostConnections() {
+        return mostOpen.values().stream().mapToInt(most -> most).max().orElse(0);
+    }
+
+    /** How many answers the busiest endpoint has given for each of the mean one. */
+    double unevenness() {
+        double mean = served.values().stream().mapToInt(one -> one).sum() / (double) endpoints.size();
+        return served.values().stream().mapToInt(one -> one).max().orElse(0) / mean;
+    }
+
+    /** The most calls to discovery in any second, of all deciders together. */
+    int mostListCalls() {
+        return listCalls.values().stream().mapToInt(calls -> calls).max().orElse(0);
+    }
+
+    /** One decider with its connections, its watch and its open requests. */
+    final class Member implements Actions {
+        private final Settings settings;
+        private final Decide decide;
+        private final WatchPace pace;
+        private final Registry.Agent agent;
+        private final Map<String, Open> requests = new HashMap<>();
+        private final Map<String, List<Agenda.Due>> idle = new HashMap<>();
+        private final Map<String, Double> leftAt = new HashMap<>();
+        private final Set<String> listed = new HashSet<>();
+        private long version;
+        private long watch;
+        private int numbered;
+        /** The watch that is on gets no answer, though nothing says so. */
+        boolean deaf;
+
+        Member(int number, int of, long seed) {
+            settings = new Settings(of, number, 0, 0, false, false, 0.2, 0, List.of(
+                new RequestClass("read", AIM_MS, DEADLINE_MS, 5, 0, Effect.REPEATABLE, Group.ALL, 0, false),
+                new RequestClass("save", AIM_MS, DEADLINE_MS, 8, 0, Effect.BY_KEY, Group.CELL, KEY_WINDOW_MS,
+                    false),
+                new RequestClass("order", AIM_MS, DEADLINE_MS, 5, 0, Effect.ONCE, Group.ALL, 0, false)),
+                List.of(), new Limits(4, false, true, 2000, CONNECT_TIMEOUT_MS),
+                new Rules(COLD_SHARE, COLD_MS, TIP_MULTIPLE, TIP_MS, GRACE_MS, 10_000));
+            decide = new Decide(settings, seed, this);
+            pace = WatchPace.ofFleet(of, seed);
+            agent = registry.agent(line -> { });
+            agent.whole(this::listed);
+        }
+
+        // ---- the list ----
+
+        private void listed(Registry.Answer answer) {
+            version = answer.version();
+            pace.answered();
+            List<Server> servers = answer.lines().stream().map(this::server).toList();
+            Set<String> gone = new HashSet<>(listed);
+            servers.forEach(server -> gone.remove(server.id()));
+            if (answer.full()) {
+                gone.forEach(id -> leftAt.putIfAbsent(id, agenda.nowMs()));
+            }
+            for (Server server : servers) {
+                listed.add(server.id());
+                if (server.state() == State.READY) {
+                    leftAt.remove(server.id());
+                } else {
+                    leftAt.putIfAbsent(server.id(), agenda.nowMs());
+                }
+            }
+            decide.onServers(now(), answer.full() ? ListKind.FULL : ListKind.DELTA, servers);
+            watch();
+        }
+
+        private Server server(Registry.Line line) {
+            return new Server(line.id(), 0, 0, endpoints.get(line.id()).shape().rack(),
+                line.startedMs() == Double.NEGATIVE_INFINITY ? 0 : EPOCH_MS + line.startedMs(),
+                switch (line.state()) {
+                    case IN_SERVICE -> State.READY;
+                    case TERMINATING -> State.DRAINING;
+                    case TERMINATED -> State.GONE;
+                }, 1);
+        }
+
+        private void watch() {
+            long call = ++watch;
+            listCalls.merge((long) (agenda.nowMs() / 1000), 1, Integer::sum);
+            agenda.after(pace.waitMs() + WatchPace.silenceMs(), () -> {
+                if (call == watch) {
+                    deaf = false;
+                    agenda.after(pace.failed(), this::watch);
+                }
+            });
+            agent.watch(version, pace.waitMs(), answer -> agenda.after(0, () -> {
+                if (call == watch && !deaf) {
+                    listed(answer);
+                }
+            }));
+        }
+
+        /** Whether it has been told that this endpoint leaves. */
+        boolean knowsOfLeaving(String id) {
+            return leftAt.containsKey(id);
+        }
+
+        // ---- requests ----
+
+        private double now() {
+            return EPOCH_MS + agenda.nowMs();
+        }
+
+        void request() {
+            int kind = random.nextInt(10);
+            Open made = new Open(settings.ownNumber() + "-" + numbered++, kind < 6 ? 0 : kind < 9 ? 1 : 2);
+            requests.put(made.id, made);
+            firstTries++;
+            decide.onRequest(now(), new Request(made.id, made.kind, 0, now() + DEADLINE_MS, false));
+        }
+
+        private void conclude(Open request) {
+            if (request.answers++ > 0) {
+                breaks.add(request.id + " was answered twice");
+            }
+            if (agenda.nowMs() > request.arrivedMs + DEADLINE_MS + SLACK_MS) {
+                breaks.add(request.id + " was answered late");
+            }
+        }
+
+        void end() {
+            requests.values().stream().filter(request -> request.answers != 1)
+                .forEach(request -> breaks.add(request.id + " had " + request.answers + " answers"));
+        }
+
+        @Override
+        public void send(String id, String server, double timeoutMs) {
+            Open request = requests.get(id);
+            attempts++;
+            mind(request, server);
+            Try made = new Try(request, request.tries.size(), server);
+            request.tries.add(made);
+            double left = request.arrivedMs + DEADLINE_MS - agenda.nowMs();
+            made.timeout = agenda.after(timeoutMs <= 0 ? left : Math.min(timeoutMs, left), made::giveUp);
+            connect(made);
+        }
+
+        /** The rules on repeats and drains. */
+        private void mind(Open request, String server) {
+            int rack = endpoints.get(server).shape().rack();
+            for (Try before : request.tries) {
+                boolean mayHaveRun = before.outcome != null && !before.outcome.neverRan();
+                Effect effect = settings.classes().get(request.kind).effect();
+                if (before.outcome == null || mayHaveRun && (effect == Effect.ONCE || effect == Effect.BY_KEY
+                        && (endpoints.get(before.server).shape().rack() != rack
+                            || agenda.nowMs() - before.sentMs > KEY_WINDOW_MS))) {
+                    breaks.add(request.id + " was repeated though " + before.outcome);
+                }
+            }
+            if (request.answers > 0) {
+                breaks.add(request.id + " was sent after its answer");
+            }
+            if (leftAt.containsKey(server) && agenda.nowMs() > leftAt.get(server) + GRACE_MS) {
+                breaks.add(request.id + " was sent to " + server + " which leaves");
+            }
+        }
+
+        private void connect(Try made) {
+            List<Agenda.Due> standing = idle.computeIfAbsent(made.server, server -> new ArrayList<>());
+            Endpoint endpoint = endpoints.get(made.server);
+            if (!standing.isEmpty()) {
+                standing.remove(standing.size() - 1).cancel();
+                made.connected = true;
+                agenda.after(NET_MS, made::arrive);
+            } else if (endpoint.isSilent()) {
+                agenda.after(CONNECT_TIMEOUT_MS, () -> made.end(Outcome.CONNECT_ERROR));
+            } else if (!endpoint.connect()) {
+                agenda.after(NET_MS, () -> made.end(Outcome.CONNECT_ERROR));
+            } else {
+                handshakes++;
+                made.connected = true;
+                int now = open.merge(made.server, 1, Integer::sum);
+                mostOpen.merge(made.server, now, Math::max);
+                agenda.after(2 * NET_MS, () -> endpoint.handshake(made::arrive));
+            }
+        }
+
+        private void keep(Try made) {
+            List<Agenda.Due> standing = idle.get(made.server);
+            Agenda.Due[] closing = new Agenda.Due[1];
+            closing[0] = agenda.after(IDLE_MS, () -> {
+                standing.remove(closing[0]);
+                closed(made.server);
+            });
+            standing.add(closing[0]);
+        }
+
+        private void closed(String server) {
+            endpoints.get(server).disconnect();
+            open.merge(server, -1, Integer::sum);
+        }
+
+        @Override
+        public void disconnect(String server) {
+            List<Agenda.Due> standing = idle.getOrDefault(server, new ArrayList<>());
+            standing.forEach(Agenda.Due::cancel);
+            standing.forEach(due -> closed(server));
+            standing.clear();
+        }
+
+        @Override
+        public void refuse(String id, double coolDownMs) {
+            Open request = requests.get(id);
+            RequestClass kind = settings.classes().get(request.kind);
+            if (!kind.refusableAfterRun() && request.tries.stream().anyMatch(made -> made.outcome == null
+                    || !made.outcome.neverRan())) {
+                breaks.add(id + " was refused though it may have run");
+            }
+            refused++;
+            conclude(request);
+        }
+
+        @Override
+        public void fail(String id) {
+            failed++;
+            conclude(requests.get(id));
+        }
+
+        @Override
+        public void cancel(String id, int attempt) {
+            throw new IllegalStateException("no client goes away here");
+        }
+
+        @Override
+        public void timer(double inMs, long name) {
+            agenda.after(inMs, () -> decide.onTimer(now(), name));
+        }
+
+        @Override
+        public void subscribe() {
+            throw new IllegalStateException("the list is pushed here");
+        }
+
+        @Override
+        public void log(String line) {
+            // Nobody reads it here.
+        }
+
+        private final class Open {
+            private final String id;
+            private final int kind;
+            private final double arrivedMs = agenda.nowMs();
+            private final double workMs = -Math.log1p(-random.nextDouble()) * MEAN_WORK_MS;
+            private final List<Try> tries = new ArrayList<>();
+            private int answers;
+
+            Open(String id, int kind) {
+                this.id = id;
+                this.kind = kind;
+            }
+        }
+
+        private final class Try extends Work {
+            private final Open request;
+            private final int number;
+            private final String server;
+            private final double sentMs = agenda.nowMs();
+            private Agenda.Due timeout;
+            private boolean connected;
+            private boolean arrived;
+            private Outcome outcome;
+
+            Try(Open request, int number, String server) {
+                super(request.kind == 1 ? request.id : null, request.workMs, 1);
+                this.request = request;
+                this.number = number;
+                this.server = server;
+            }
+
+            private void arrive() {
+                if (outcome == null) {
+                    arrived = true;
+                    endpoints.get(server).offer(this);
+                }
+            }
+
+            private void giveUp() {
+                if (arrived) {
+                    endpoints.get(server).cancel(this);
+                }
+                end(arrived ? Outcome.TIMED_OUT : Outcome.CONNECT_ERROR);
+            }
+
+            private void end(Outcome how) {
+                if (outcome != null) {
+                    return;
+                }
+                outcome = how;
+                timeout.cancel();
+                if (connected && how != Outcome.TIMED_OUT && how != Outcome.CONNECT_ERROR) {
+                    keep(this);
+                } else if (connected) {
+                    closed(server);
+                }
+                boolean first = how == Outcome.OK && request.answers == 0;
+                if (first) {
+                    conclude(request);
+                    served.merge(server, 1, Integer::sum);
+                    servedInTime += agenda.nowMs() - request.arrivedMs <= AIM_MS ? 1 : 0;
+                }
+                decide.onFinished(now(), new Finished(request.id, number, server, how,
+                    agenda.nowMs() - sentMs, first || request.answers > 0, Load.NONE));
+            }
+
+            @Override
+            protected void began() {
+                // What it does is counted by its answer.
+            }
+
+            @Override
+            protected void call(Consumer<Boolean> done) {
+                agenda.after(DOWNSTREAM_MS, () -> done.accept(true));
+            }
+
+            @Override
+            protected void answered(Answer answer) {
+                agenda.after(NET_MS, () -> end(switch (answer) {
+                    case SERVED -> Outcome.OK;
+                    case ERROR -> Outcome.FAILED;
+                    case TURNED_AWAY -> Outcome.QUEUE_FULL;
+                }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/fleet/FleetTest.java
@@ -0,0 +1,94 @@
+package lemonrail.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import lemonrail.lab.model.Endpoint;
+import lemonrail.lab.model.Registry;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is harmless from one sidecar and harmful when all do it, counted over the whole fleet. */
+@Timeout(60)
+class FleetTest {
+
+    private static final double LENGTH_MS = 40_000;
+
+    private static void keepsTheRules(Fleet fleet) {
+        assertEquals(List.of(), fleet.breaks);
+    }
+
+    /** Guards against ranks that meet on few endpoints, and against calls and connections that multiply. */
+    @ParameterizedTest
+    @CsvSource({"14, 60, 1, 2", "14, 60, 2, 2", "50, 250, 3, 2", "50, 20, 4, 2", "1, 60, 5, 3"})
+    void aCalmFleetSpreadsItsLoad(int deciders, int servers, long seed, double uneven) {
+        Fleet fleet = new Fleet(deciders, servers, 0.35, seed);
+        fleet.play(LENGTH_MS);
+        keepsTheRules(fleet);
+        assertTrue(fleet.servedShare() > 0.98, "served " + fleet.servedShare());
+        assertTrue(fleet.attemptsPerTry() < 1.01, fleet.attemptsPerTry() + " attempts a request");
+        assertTrue(fleet.unevenness() < uneven, "the busiest had " + fleet.unevenness() + " times the mean");
+        assertTrue(fleet.mostListCalls() <= 2 * deciders, fleet.mostListCalls() + " calls for the list");
+        assertTrue(fleet.mostConnections() <= 4 * Math.max(4, deciders),
+            fleet.mostConnections() + " connections to one endpoint");
+    }
+
+    /** Guards against warm endpoints that are left with the calls of those that cold ones replace. */
+    @ParameterizedTest
+    @CsvSource({"14, 60, 1", "14, 60, 2", "50, 250, 3", "3, 8, 4"})
+    void aMassReplacementCrowdsNobody(int deciders, int servers, long seed) {
+        Fleet fleet = new Fleet(deciders, servers, 0.5, seed);
+        List<String> leaving = List.copyOf(fleet.endpoints.keySet()).subList(0, servers * 6 / 10);
+        for (int i = 0; i < leaving.size(); i++) {
+            String id = leaving.get(i);
+            fleet.agenda.after(10_000 + 7000.0 * i / leaving.size(), () -> fleet.replace(id));
+        }
+        int[] crowded = new int[1];
+        for (int at = 10_000; at < LENGTH_MS; at += 500) {
+            fleet.agenda.after(at, () -> crowded[0] +=
+                (int) fleet.endpoints.values().stream().filter(Endpoint::isCrowded).count());
+        }
+        fleet.play(LENGTH_MS);
+        keepsTheRules(fleet);
+        assertTrue(fleet.servedShare() > 0.93, "served " + fleet.servedShare());
+        assertEquals(0, crowded[0], "half seconds in which an endpoint was crowded");
+        assertTrue(fleet.attemptsPerTry() < 1.1, fleet.attemptsPerTry() + " attempts a request");
+    }
+
+    /** Guards against retries that all spend together on a third that has gone silent, and on its return. */
+    @ParameterizedTest
+    @CsvSource({"14, 60, 1", "14, 60, 2", "50, 250, 3"})
+    void aLostZoneAndItsColdReturnAreBorne(int deciders, int servers, long seed) {
+        Fleet fleet = new Fleet(deciders, servers, 0.4, seed);
+        List<String> lost = List.copyOf(fleet.endpoints.keySet()).subList(0, servers / 3);
+        fleet.agenda.after(10_000, () -> lost.forEach(id -> fleet.endpoints.get(id).vanish()));
+        fleet.agenda.after(18_000, () -> lost.forEach(id -> fleet.tell(id, Registry.State.TERMINATED)));
+        fleet.agenda.after(22_000, () -> lost.forEach(id -> {
+            fleet.endpoints.get(id).start();
+            fleet.tell(id, Registry.State.IN_SERVICE);
+        }));
+        fleet.play(LENGTH_MS);
+        keepsTheRules(fleet);
+        assertTrue(fleet.servedShare() > 0.95, "served " + fleet.servedShare());
+        assertTrue(fleet.attemptsPerTry() < 1.05, fleet.attemptsPerTry() + " attempts a request");
+    }
+
+    /** Guards against news that a silent watch keeps from a sidecar until its long wait is over. */
+    @ParameterizedTest
+    @CsvSource({"14, 60, 1", "50, 250, 2"})
+    void whatSilentWatchesMissedIsSoonLearned(int deciders, int servers, long seed) {
+        Fleet fleet = new Fleet(deciders, servers, 0.3, seed);
+        String leaving = fleet.endpoints.keySet().iterator().next();
+        fleet.agenda.after(9000, () -> fleet.members.forEach(member -> member.deaf = true));
+        fleet.agenda.after(10_500, () -> fleet.tell(leaving, Registry.State.TERMINATING));
+        long[] know = new long[1];
+        fleet.agenda.after(15_000, () ->
+            know[0] = fleet.members.stream().filter(member -> member.knowsOfLeaving(leaving)).count());
+        fleet.play(20_000);
+        keepsTheRules(fleet);
+        assertEquals(deciders, know[0], "know of it after 4.5 s");
+        assertTrue(fleet.mostListCalls() <= 3 * deciders, fleet.mostListCalls() + " calls for the list");
+    }
+}
