--- a/core/src/main/java/lemonrail/core/policy/Cold.java
+++ b/core/src/main/java/lemonrail/core/policy/Cold.java
@@ -1,16 +1,18 @@
 package lemonrail.core.policy;
 
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.State;
 
 /** The budget of servers that have just started. */
 final class Cold {
 
     private final Settings settings;
     private final Ranks ranks;
-    private final List<Target> cold = new ArrayList<>();
+    private final Set<Target> cold = new LinkedHashSet<>();
 
     Cold(Settings settings, Ranks ranks) {
         this.settings = settings;
@@ -29,11 +31,17 @@
     }
 
     void watch(double now, Target target) {
-        if (warmth(now, target) < 1 && !cold.contains(target)) {
+        if (warmth(now, target) < 1) {
             cold.add(target);
         }
     }
 
+    /** What the ready servers can surely do together, in warm ones. */
+    double able(double now) {
+        return ranks.ready - cold.stream().filter(target -> target.listed.state() == State.READY)
+            .mapToDouble(target -> (1 - warmth(now, target)) * ranks.relativeWeight(target)).sum();
+    }
+
     /** Tells of each server that is cold or has just become warm. */
     void tick(double now, Consumer<Target> told) {
         List.copyOf(cold).forEach(told);
--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -253,6 +253,7 @@
         report(now);
         health.tick(now);
         cold.tick(now, target -> pool.reprice(now, target, false));
+        limit.resize(cold.able(now));
         pool.refill(now, limit.fadingPeak());
     }
 
@@ -287,11 +288,10 @@
                 .forEach(target -> update(now, target.listed.with(State.GONE)));
         }
         entries.forEach(entry -> update(now, entry));
-        int readyBefore = ranks.ready;
         known.clear();
         targets.values().stream().filter(target -> target.listed.state() == State.READY).forEach(known::add);
         ranks.settle(known);
-        limit.resize(readyBefore);
+        limit.resize(cold.able(now));
         pool.settle(now, known);
     }
 
--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -42,6 +42,8 @@
     private double lastTook;
     /** How many calls may be out at once before the first tier turns more away. */
     double limit;
+    /** What the servers could do that it was last sized for. */
+    private double capacity;
     /** What outcomes took beyond the base time, as a part of what the aim leaves, on recent average. */
     private double pressure;
     private double nextCut;
@@ -65,16 +67,17 @@
         }).toArray(TokenBucket[]::new);
     }
 
-    /** Takes in that the list of servers has changed. */
-    void resize(int readyBefore) {
-        int ready = ranks.ready;
+    /** Takes in what the ready servers can surely do together, in warm ones. */
+    void resize(double able) {
         if (limit == 0) {
-            limit = Math.min(Pool.CEILING, Math.max(1, FIRST_CALLS * ready / settings.balancers()));
+            limit = Math.min(Pool.CEILING, Math.max(1, FIRST_CALLS * able / settings.balancers()));
             quickUntil = 2 * limit;
-        } else if (readyBefore > 0 && ready > 0) {
-            // What was learned holds for each server: fewer must not get the calls of all.
-            limit = Math.min(Pool.CEILING, limit * ready / readyBefore);
+        } else if (capacity > 0 && able > 0) {
+            // What was learned holds for each server: fewer, or cold ones, must not get the calls of all.
+            limit = Math.min(Pool.CEILING, limit * able / capacity);
+            quickUntil *= able / capacity;
         }
+        capacity = able;
     }
 
     /** Whether there is room for a call. Lower tiers do not shed: a call there carries work done above. */
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -18,6 +18,7 @@
 import lemonrail.core.Contract.ListKind;
 import lemonrail.core.Contract.Load;
 import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Server;
 import lemonrail.core.Contract.State;
 import lemonrail.core.Contract.Tenant;
 import org.junit.jupiter.api.Test;
@@ -447,6 +448,24 @@
         assertEquals(8, takenAtOnce(f), "all are back");
     }
 
+    /** Guards against a mass replacement: cold ones cannot take what the warm ones took that they replace. */
+    @Test
+    void theLimitGoesWithWhatColdServersCanDo() {
+        Fixture f = Fixture.of(2, 0, 0).list(Fixture.servers(4));
+        assertEquals(8, takenAtOnce(f));
+        List<Server> replaced = new ArrayList<>(Fixture.servers(2));
+        replaced.add(Fixture.server("cold-1", 0, f.now, State.READY));
+        replaced.add(Fixture.server("cold-2", 0, f.now, State.READY));
+        f.list(replaced);
+        assertEquals(6, takenAtOnce(f), "two warm servers, and two that can do three tenths of one");
+        f.now += 4000;
+        f.balancer.onTimer(f.now, 99);
+        assertEquals(7, takenAtOnce(f), "half of their time has passed");
+        f.now += 4000;
+        f.balancer.onTimer(f.now, 99);
+        assertEquals(8, takenAtOnce(f), "all are warm");
+    }
+
     /** How many calls are taken before the first is turned away; they are withdrawn again. */
     private static int takenAtOnce(Fixture f) {
         int sent = f.host.sent.size();
