A chunk that fills a connection is written whole before anything else

A call that comes while the writer writes has it look once more when it is done. PipeWriterTest fails on the program of before (32,768 and 32,700 bytes, an answer and a body: the last chunk within the chunk that fills the connection).

--- a/edge/src/main/java/lemonrail/http1/PipeWriter.java
+++ b/edge/src/main/java/lemonrail/http1/PipeWriter.java
@@ -23,6 +23,9 @@
     private final Pipe pipe;
     private final Ending ending;
     private boolean over;
+    /** It is writing, and was called upon meanwhile. */
+    private boolean writing;
+    private boolean again;
 
     /** A writer to this channel; {@link Pipe#to} starts it. */
     public PipeWriter(Channel channel, Pipe pipe, Ending ending) {
@@ -31,9 +34,36 @@
         this.ending = ending;
     }
 
-    /** Also to be called when the channel has become writable again. */
+    /**
+     * Also to be called when the channel has become writable again. A chunk goes out in several writes, and
+     * the channel may tell in the midst of them that it is full: what is written then would stand within the
+     * chunk, so such a call only has the one that is under way look again.
+     */
     @Override
     public void more() {
+        if (writing) {
+            again = true;
+            return;
+        }
+        writing = true;
+        do {
+            again = false;
+            writePieces();
+        } while (again && !over);
+        writing = false;
+        if (over) {
+            return;
+        }
+        if (pipe.isDone()) {
+            over = true;
+            ending.whole(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        } else if (pipe.isBroken()) {
+            over = true;
+            ending.cut();
+        }
+    }
+
+    private void writePieces() {
         boolean wrote = false;
         while (!over && channel.isWritable()) {
             ByteBuf piece = pipe.next();
@@ -47,16 +77,6 @@
         if (wrote) {
             channel.flush();
         }
-        if (over) {
-            return;
-        }
-        if (pipe.isDone()) {
-            over = true;
-            ending.whole(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
-        } else if (pipe.isBroken()) {
-            over = true;
-            ending.cut();
-        }
     }
 
     /** Writes no more, and says nothing of it. */
--- /dev/null
+++ b/edge/src/test/java/lemonrail/http1/PipeWriterTest.java
@@ -0,0 +1,126 @@
+package lemonrail.http1;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import lemonrail.net.Sockets;
+import lemonrail.streaming.Budget;
+import lemonrail.streaming.Pipe;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a body's writer puts on a connection that becomes full, and takes again, in the middle of a chunk. */
+class PipeWriterTest {
+
+    private static final int BUDGET_BYTES = 1 << 20;
+
+    private final List<String> endings = new ArrayList<>();
+    private PipeWriter writer;
+
+    private EmbeddedChannel connection(ChannelHandler encoder) {
+        EmbeddedChannel channel = new EmbeddedChannel(encoder, new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+                if (writer != null) {
+                    writer.more();
+                }
+            }
+        });
+        channel.config().setWriteBufferWaterMark(Sockets.WRITE_MARKS);
+        return channel;
+    }
+
+    private PipeWriter.Ending ending() {
+        return new PipeWriter.Ending() {
+            @Override
+            public void whole(ChannelFuture written) {
+                endings.add("whole");
+            }
+
+            @Override
+            public void cut() {
+                endings.add("cut");
+            }
+        };
+    }
+
+    private static HttpMessage chunked(HttpMessage head) {
+        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        return head;
+    }
+
+    private static String written(EmbeddedChannel channel) {
+        StringBuilder all = new StringBuilder();
+        for (ByteBuf next = channel.readOutbound(); next != null; next = channel.readOutbound()) {
+            all.append(next.toString(StandardCharsets.ISO_8859_1));
+            next.release();
+        }
+        return all.substring(all.indexOf("\r\n\r\n") + "\r\n\r\n".length());
+    }
+
+    /** Reads whole chunks to their end; returns the bytes of the body. */
+    private static int bytesInChunks(String chunks, boolean whole) {
+        int at = 0;
+        int bytes = 0;
+        int size = -1;
+        while (at < chunks.length()) {
+            assertTrue(size != 0, "more comes behind the last chunk");
+            int line = chunks.indexOf("\r\n", at);
+            size = Integer.parseInt(chunks.substring(at, line), 16);
+            at = line + 2 + size;
+            assertEquals("\r\n", chunks.substring(at, at + 2), "a chunk ends where its size says");
+            at += 2;
+            bytes += size;
+        }
+        assertEquals(whole, size == 0, "the last chunk tells that it is whole");
+        return bytes;
+    }
+
+    /** Guards against an end, or a next chunk, that is written within the chunk that fills the connection. */
+    @ParameterizedTest
+    @CsvSource({"32768,true", "32768,false", "32700,true", "32700,false", "16384,true", "49152,true",
+        "49152,false", "100000,true", "100000,false", "1,true", "1,false"})
+    void aBodyEndsBetweenChunks(int bytes, boolean whole) {
+        for (boolean answer : new boolean[] {true, false}) {
+            endings.clear();
+            writer = null;
+            EmbeddedChannel channel = connection(answer ? new HttpResponseEncoder() : new HttpRequestEncoder());
+            channel.writeOutbound(chunked(answer
+                ? new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+                : new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api")));
+            Pipe pipe = new Pipe(new Budget(BUDGET_BYTES), on -> { });
+            pipe.write(Unpooled.wrappedBuffer(new byte[bytes]));
+            if (whole) {
+                pipe.end();
+            } else {
+                pipe.fail();
+            }
+            writer = new PipeWriter(channel, pipe, ending());
+            pipe.to(writer);
+            assertEquals(List.of(whole ? "whole" : "cut"), endings);
+            int written = bytesInChunks(written(channel), whole);
+            assertTrue(whole ? written == bytes : written <= bytes, written + " bytes of " + bytes);
+            channel.finishAndReleaseAll();
+        }
+    }
+}
