An answer that is still being written is neither idle, nor written into

Cause, each seen with a client that takes its answers late (SlowClientsTest, failing on the program of before, with these words): - A connection passed for idle once its last answer had been handed to it, though a part of that was not written yet. So it made room for others, was closed after 5 s, and was let go by a drain and by a stop: "the body is cut" in all four cases. - Writing an answer can tell that the connection is full or takes more, which has a request read that waits behind eight others; its own answer was then written in the midst of the one under way: "the body is cut". - A stop left an answer that was being passed on to the process's end: "cut within a chunk, 16,376 wanted, 8,041 there".

Also held now, and passing before: a cut answer arrives where 1, 7 or 40 requests have come behind it.

--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -230,10 +230,15 @@
         dropUnwritten(open);
     }
 
-    /** The process ends: what is still open is given up now, and each of its clients hears so. */
+    /**
+     * The process ends: what is still open is given up now, and each of its clients hears so. An answer that
+     * is still being passed on is cut where its client can tell, not where the process happens to end.
+     */
     public void end() {
         for (Open<M, A> open : List.copyOf(table.values())) {
-            if (!open.concluded) {
+            if (open.stream != null) {
+                giveUp(open, open.stream, Outcome.CANCELED);
+            } else if (!open.concluded) {
                 abandon(open);
             }
         }
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -43,6 +43,10 @@
     private boolean surplus;
     private boolean hasAsked;
     private double quietSince;
+    /** Answers that have been handed to the connection whole and that it has not written yet. */
+    private int unwritten;
+    /** Answers are being handed to the connection: what comes of that waits its turn. */
+    private boolean flushing;
     /** The last answer is on its way. */
     private boolean ending;
     /** The answer whose body is being passed on, and by what. */
@@ -87,7 +91,12 @@
 
     /** Whether nobody waits for an answer on it. */
     boolean isQuiet() {
-        return replies.isEmpty() && !ending;
+        return isAnswered() && !ending;
+    }
+
+    /** Whether nothing is asked on it that has not been answered and written. */
+    private boolean isAnswered() {
+        return replies.isEmpty() && unwritten == 0;
     }
 
     /** Whether it has been quiet since then, no request is coming in and none waits to be read. */
@@ -102,7 +111,7 @@
 
     /** The same of one on which half a request may stand. */
     boolean isIdle() {
-        return replies.isEmpty() && (!ending || guard.hasSaid()) && !channel.hasUnread();
+        return isAnswered() && (!ending || guard.hasSaid()) && !channel.hasUnread();
     }
 
     /** Whether bytes have come that are not read yet. */
@@ -255,39 +264,64 @@
 
     /** Writes the answers that are there, as far as none before them is missing. */
     void flush() {
+        // To write can lead back here: the connection is full, or takes more, which has more of it read.
+        if (flushing) {
+            return;
+        }
+        flushing = true;
         while (!ending && writer == null && !replies.isEmpty() && replies.peek().response() != null) {
-            ClientReply reply = replies.peek();
-            boolean last = reply.isLast() || frontend.isLeaving() && replies.size() == 1;
-            if (uploading == reply) {
-                // Its client still sends what nobody needs any more, and would go on with it.
-                last = true;
-                guard.letBodyCome();
-            }
-            if (last) {
-                reply.response().headers().set(HttpHeaderNames.CONNECTION, "close");
-            }
-            if (reply.body() == null) {
-                written(reply, last, channel.writeAndFlush(reply.response()));
-            } else {
-                channel.writeAndFlush(reply.response());
-                writer = new PipeWriter(channel, reply.body(), new Streamed(reply, last));
-                reply.body().to(writer);
-            }
+            write(replies.peek());
         }
+        flushing = false;
         if (ending) {
             drop();
-        } else if (replies.isEmpty() && frontend.answered(this)) {
+        } else if (replies.isEmpty()) {
+            mindQuiet();
+        }
+        mindReading();
+    }
+
+    private void write(ClientReply reply) {
+        boolean last = reply.isLast() || frontend.isLeaving() && replies.size() == 1;
+        if (uploading == reply) {
+            // Its client still sends what nobody needs any more, and would go on with it.
+            last = true;
+            guard.letBodyCome();
+        }
+        if (last) {
+            reply.response().headers().set(HttpHeaderNames.CONNECTION, "close");
+        }
+        if (reply.body() == null) {
+            written(reply, last, channel.writeAndFlush(reply.response()));
+        } else {
+            channel.writeAndFlush(reply.response());
+            writer = new PipeWriter(channel, reply.body(), new Streamed(reply, last));
+            reply.body().to(writer);
+        }
+    }
+
+    /** All is answered; the connection is free once that is written as well. */
+    private void mindQuiet() {
+        if (unwritten > 0) {
+            guard.answering();
+        } else if (frontend.answered(this)) {
             quietSince = frontend.clock().now();
             guard.answered();
             mindContinue();
         }
-        mindReading();
     }
 
     /** An answer has been handed to the connection whole. */
     private void written(ClientReply reply, boolean last, ChannelFuture written) {
         replies.poll();
-        written.addListener(done -> reply.ended(done.isSuccess()));
+        unwritten++;
+        written.addListener(done -> {
+            unwritten--;
+            reply.ended(done.isSuccess());
+            if (done.isSuccess() && isQuiet()) {
+                flush();
+            }
+        });
         if (last) {
             endAfter(written);
         }
--- a/edge/src/main/java/lemonrail/http1/ClientGuard.java
+++ b/edge/src/main/java/lemonrail/http1/ClientGuard.java
@@ -27,7 +27,7 @@
     private static final int LEAST_BYTES_PER_MS = 32;
     /** Between requests a connection is closed after this time. */
     private static final int IDLE_MS = 5000;
-    /** A client that takes nothing of its last answer for so long does not want it. */
+    /** A client that takes nothing of its answers for so long does not want them. */
     private static final int STALL_MS = 10_000;
     /** What a client still sends when it has its last answer is read, so that no reset destroys that. */
     private static final int LINGER_MS = 300;
@@ -230,7 +230,12 @@
         return begun;
     }
 
-    /** All that was asked is answered. */
+    /** All that was asked is answered, but not written yet: it has time while the client takes some. */
+    void answering() {
+        awaitTaken(Long.MIN_VALUE);
+    }
+
+    /** All that was asked is answered, and that is written. */
     void answered() {
         if (!deaf && channel.isActive()) {
             waiting = !begun;
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -0,0 +1,232 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that take their answers late: what they get is whole, or ends where they can tell. */
+@Timeout(60)
+class SlowClientsTest {
+
+    private static final int DEADLINE_MS = 8000;
+    private static final int RECEIVE_BYTES = 16 * 1024;
+    private static final String ANSWER = "x".repeat(60_000);
+    /** Large enough to fill a connection by itself. */
+    private static final String FILLING = "y".repeat(40_000);
+    /** More answers than any connection's buffers hold. */
+    private static final int MOST_ANSWERS = 1000;
+    /** As many clients as there is room for with hardly a descriptor. */
+    private static final int ROOM = 8;
+    /** Beyond the time after which an idle connection is closed. */
+    private static final long PAST_IDLE_MS = 5500;
+
+    private Rig rig;
+    private final List<Wire> clients = new ArrayList<>();
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Wire client : clients) {
+            client.close();
+        }
+        rig.close();
+    }
+
+    private Wire client() throws IOException {
+        Wire client = rig.client();
+        clients.add(client);
+        return client;
+    }
+
+    private Wire slowClient() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BYTES);
+        socket.connect(rig.sidecar.address());
+        Wire client = new Wire(socket);
+        clients.add(client);
+        return client;
+    }
+
+    private boolean isAnswering() {
+        try {
+            return !rig.operate("GET", "/v1/metrics").body().contains("concurrent=0\n");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Asks without reading until the last answer no longer fits; returns how many were asked. */
+    private int fill(Wire client) throws Exception {
+        for (int asked = 1; asked < MOST_ANSWERS; asked++) {
+            int now = asked;
+            client.send(rig.request("read", DEADLINE_MS));
+            Rig.await("it is answered", () -> rig.attempts() == now && rig.inHand() == 0);
+            rig.settle();
+            if (isAnswering()) {
+                return asked;
+            }
+        }
+        throw new AssertionError("the connection takes all");
+    }
+
+    private static void assertWhole(Wire client, int answers) throws IOException {
+        for (int i = 0; i < answers; i++) {
+            assertEquals(ANSWER.length(), client.read().bytes().length, "answer " + i + " of " + answers);
+        }
+    }
+
+    // ---- answers that are still being written ----
+
+    /** Guards against an answer that is cut as its connection passes for idle while it is written. */
+    @Test
+    void whatIsBeingWrittenMakesNoRoom() throws Exception {
+        rig = new Rig(Fake.answering(200, "", ANSWER));
+        rig.sockets = 1;
+        rig.start();
+        Wire slow = slowClient();
+        int answers = fill(slow);
+        for (int i = 0; i < ROOM; i++) {
+            assertEquals(200, client().send(rig.request("read", DEADLINE_MS)).read().status());
+        }
+        assertWhole(slow, answers);
+    /** Guards against an answer that is cut as its connection passes for idle meanwhile. */
+    }
+
+    /** The same with the time after which an idle connection is closed. */
+    @Test
+    void whatIsBeingWrittenIsNotIdle() throws Exception {
+        rig = new Rig(Fake.answering(200, "", ANSWER)).start();
+        Wire slow = slowClient();
+        int answers = fill(slow);
+        TimeUnit.MILLISECONDS.sleep(PAST_IDLE_MS);
+        assertWhole(slow, answers);
+        assertEquals(200, slow.send(rig.request("read", DEADLINE_MS)).read().status(), "it goes on");
+    }
+
+    /** The same with a drain and with a stop, both of which close what is idle. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatIsBeingWrittenIsNotLetGo(boolean stops) throws Exception {
+        rig = new Rig(Fake.answering(200, "", ANSWER)).start();
+        Wire slow = slowClient();
+        int answers = fill(slow);
+        Wire idle = client();
+        assertEquals(200, idle.send(rig.request("read", DEADLINE_MS)).read().status());
+        Thread stop = new Thread(rig.sidecar::terminate);
+        if (stops) {
+            stop.start();
+        } else {
+            assertEquals(200, rig.operate("PUT", "/v1/sidecar/drain").status());
+        }
+        idle.awaitEnd();
+        assertWhole(slow, answers);
+        slow.awaitEnd();
+        stop.join();
+    }
+
+    /** Guards against an answer that is written into another one: what waits is heard in the midst of it. */
+    @Test
+    void whatIsHeardWhileAnAnswerIsWrittenWaitsItsTurn() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch second = new CountDownLatch(1);
+        rig = new Rig(new Fake((wire, request) -> {
+            boolean first = request.headers().get("x-request-id").equals("r0");
+            if (first) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", first ? "first" : FILLING);
+            second.countDown();
+        })).start();
+        String other = "GET /other HTTP/1.1\r\nHost: x\r\n\r\n";
+        Wire client = client();
+        client.send(rig.request("read", DEADLINE_MS) + rig.request("read", DEADLINE_MS) + other.repeat(6));
+        second.await();
+        Rig.await("the second is answered", () -> rig.inHand() == 1);
+        client.send(other);
+        rig.settle();
+        release.countDown();
+        assertEquals("first", client.read().body());
+        Wire.Message filling = client.read();
+        assertEquals(200, filling.status());
+        assertArrayEquals(FILLING.getBytes(StandardCharsets.ISO_8859_1), filling.bytes());
+        for (int i = 0; i < 7; i++) {
+            assertEquals(404, client.read().status(), "answer " + i + " behind it");
+        }
+        assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status(), "it goes on");
+    }
+
+    // ---- answers that are cut ----
+
+    /** Guards against an end within a chunk where the process itself ends while an answer is passed on. */
+    @Test
+    void aStopCutsBetweenChunks() throws Exception {
+        rig = new Rig(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                wire.send("4000\r\n" + "x".repeat(0x4000) + "\r\n");
+            }
+        })).start();
+        Wire client = slowClient();
+        client.send(rig.request("read", DEADLINE_MS));
+        assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        Thread stop = new Thread(rig.sidecar::terminate);
+        stop.start();
+        Rig.await("it is given up", () -> rig.endpoints.get(0).open.get() == 0);
+        assertCutBetweenChunks(client);
+        stop.join();
+    }
+
+    /** The same where more has come behind its request: that is read, lest a reset takes the end away. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 40})
+    void aCutAnswerArrivesThoughMoreWasSent(int behind) throws Exception {
+        CountDownLatch cut = new CountDownLatch(1);
+        rig = new Rig(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = 0; i < 8; i++) {
+                wire.send("4000\r\n" + "x".repeat(0x4000) + "\r\n");
+            }
+            cut.await();
+            wire.reset();
+        })).start();
+        Wire client = slowClient();
+        client.send(rig.request("read", DEADLINE_MS));
+        assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        for (int i = 0; i < behind; i++) {
+            client.send(rig.request("order", DEADLINE_MS));
+        }
+        rig.settle();
+        cut.countDown();
+        Rig.await("it is cut", () -> !isAnswering());
+        assertCutBetweenChunks(client);
+    }
+
+    /** Reads whole chunks to the connection's end, of which none is the last one. */
+    private static void assertCutBetweenChunks(Wire client) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int b = client.in.read(); b >= 0; b = client.in.read()) {
+            line.append((char) b);
+            if (line.toString().endsWith("\r\n")) {
+                int size = Integer.parseInt(line.toString().trim(), 16);
+                assertTrue(size > 0, "it is not whole, and looks it");
+                assertEquals(size, client.in.readNBytes(size).length, "cut within a chunk");
+                assertEquals("\r\n", new String(client.in.readNBytes(2), StandardCharsets.ISO_8859_1));
+                line.setLength(0);
+            }
+        }
+        assertEquals("", line.toString(), "cut within a line");
+    }
+}
