A change is known within 6 s in fleets of any size: watches wait 3 s at most

Need: the term that a change counts as told 6 s after discovery had it and could be reached. Cause of the break: WatchPace.ofFleet waited 10 ms for each instance, up to 20 s, so from 550 instances on a watch that fell silent was noticed later than that; a second call in vain waited as long again; pauses grew with the drain grace (up to half of it, 30 s for a grace of 60 s); an answer without a wait had to be whole in 0.5 s, so a longer list was asked for again and again.

Weighed: a heartbeat beside a long wait or two watches in turn (twice the connections, no fewer calls), TCP keep-alive (does not notice). What it costs: 0.33 calls a second for each sidecar, 333 for 1,000 (100 before). The limit of 100 was our own word: prices are for lines of lists, and an answer without news has none. discovery.wait over 3 s, up to 60 s until now, is refused with the range.

--- a/edge/src/main/java/lemonrail/config/Schema.java
+++ b/edge/src/main/java/lemonrail/config/Schema.java
@@ -6,6 +6,7 @@
 import lemonrail.core.Contract.Effect;
 import lemonrail.core.Contract.Group;
 import lemonrail.core.Contract.State;
+import lemonrail.core.WatchPace;
 import lemonrail.logging.LogSettings;
 import lemonrail.logging.Severity;
 
@@ -35,8 +36,9 @@
         "where operators call; without it there is no door");
     static final Key<InetSocketAddress> DISCOVERY = Key.optional("address", ValueType.address(1), null,
         "where the list of endpoints is watched").changeable();
-    static final Key<Double> DISCOVERY_WAIT = Key.optional("wait", ValueType.duration(100, MINUTE_MS), null,
-        "how long a call waits for news; if not given 1s, or 10ms for each balancer, up to 20s");
+    static final Key<Double> DISCOVERY_WAIT = Key.optional("wait",
+        ValueType.duration(100, WatchPace.LONGEST_WAIT_MS), null, "how long a call waits for news; if not "
+            + "given 1s, or 10ms for each balancer, up to 3s. With more, silent watches hide news over 6s");
 
     static final Key<String> ENDPOINT_ID = Key.required("id", ValueType.word(), "its name").changeable();
     static final Key<InetSocketAddress> ENDPOINT = Key.required("address", ValueType.address(1),
--- a/edge/src/test/java/lemonrail/cli/BadFilesTest.java
+++ b/edge/src/test/java/lemonrail/cli/BadFilesTest.java
@@ -208,4 +208,17 @@
         assertTrue(assertThrows(ConfigException.class, bad::load).getMessage()
             .contains("LEMONRAIL_LIMITS_ATTEMPTS = \"many\": must be a whole number from 1 to 16"));
     }
+
+    /** Guards against waits that hide a silent watch for longer than the time in which a change binds. */
+    @Test
+    void aWaitForNewsIsShortEnoughForChangesToBeKnownInTime() throws IOException {
+        String watched = GOOD + "[discovery]\naddress = \"127.0.0.1:8500\"\nwait = \"WAIT\"\n";
+        EdgeConfig longest = new TomlFile(file(watched.replace("WAIT", "3s")), Map.of()).load().config();
+        assertEquals(3000.0, longest.discoveryWaitMs());
+        for (String wait : List.of("3001ms", "20s", "60s", "50ms")) {
+            String told = problems(watched.replace("WAIT", wait)).toString();
+            assertTrue(told.contains("wait") && told.contains(wait), told);
+            assertTrue(told.contains("from 100ms to 3s"), told);
+        }
+    }
 }
