--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -102,7 +102,6 @@
             assertEquals(200, client().send(rig.request("read", DEADLINE_MS)).read().status());
         }
         assertWhole(slow, answers);
-    /** Guards against an answer that is cut as its connection passes for idle meanwhile. */
     }
 
     /** The same with the time after which an idle connection is closed. */
