The program says at its start that reloads are off where SIGHUP is ignored

Now `lemonrail: reloads are off: SIGHUP is ignored, as in all that nohup starts` (event reloads_off, a warning) follows the line that says `serving`, by SigIgn of /proc/self/status; where the system does not tell, nothing is said.

MainTest starts the program through a shell with SIGHUP ignored and at its default; without the call in Serving it failed (expected true, was false).

--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -274,6 +274,11 @@
         loop.execute(this::reloadNow);
     }
 
+    /** Tells the operators that {@link #reload} will never be called, and why. */
+    public void reloadsAreOff(String why) {
+        log.warn("reloads_off", "reloads are off: " + why);
+    }
+
     private void reloadNow() {
         if (reloading) {
             reloadAgain = true;
--- a/edge/src/main/java/lemonrail/cli/Serving.java
+++ b/edge/src/main/java/lemonrail/cli/Serving.java
@@ -48,6 +48,9 @@
                 return fail(e, Main.FAILURE);
             }
             running.complete(sidecar);
+            if (SignalMask.ignores(SignalMask.HUP)) {
+                sidecar.reloadsAreOff("SIGHUP is ignored, as in all that nohup starts");
+            }
             return Main.OK;
         } catch (IllegalArgumentException e) {
             return fail(e, Main.BAD_INPUT);
--- a/edge/src/test/java/lemonrail/cli/MainTest.java
+++ b/edge/src/test/java/lemonrail/cli/MainTest.java
@@ -1,13 +1,17 @@
 package lemonrail.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,10 +32,17 @@
     Path folder;
 
     private Process serve(String config) throws IOException {
+        return serve(config, List.of());
+    }
+
+    /** The same through another command, which gets the program's own as its arguments. */
+    private Process serve(String config, List<String> through) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-            "lemonrail.cli.Main", "serve");
+        List<String> command = new ArrayList<>(through);
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "lemonrail.cli.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", file.toString());
         return builder.redirectErrorStream(true).start();
     }
@@ -69,6 +80,28 @@
         }
     }
 
+    /** Guards against a reload that nobody hears of: where SIGHUP is ignored from the start, it says so. */
+    @Test
+    void itSaysThatReloadsAreOff() throws Exception {
+        Assumptions.assumeTrue(Files.exists(Path.of("/proc/self/status")), "the system does not tell");
+        assertTrue(reloadsAreOff("trap '' HUP"));
+        assertFalse(reloadsAreOff("trap - HUP"));
+    }
+
+    /** Whether a process that a shell starts so says that it hears no reloads, before it has stopped. */
+    private boolean reloadsAreOff(String before) throws Exception {
+        Process process = serve(CONFIG, List.of("sh", "-c", before + "; exec \"$@\"", "sh"));
+        try (BufferedReader log = process.inputReader()) {
+            awaitLine(log, "warm after");
+            process.toHandle().destroy();
+            boolean off = log.lines().anyMatch(line -> line.contains("reloads are off: SIGHUP"));
+            assertEquals(0, process.waitFor());
+            return off;
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private static void awaitLine(BufferedReader log, String part) throws IOException {
         String line = log.readLine();
         while (line != null && !line.contains(part)) {
