A client that goes with more sent than is taken is noticed within the turn

Seen (ClientsThatLeaveTest, whoGoesBehindMoreThanIsTakenIsNoticed, on the program of before): with eight requests in hand and 200, 10,000, 100,000 or 1,000,000 bytes more behind them, sent apart, the connection was not read any more, so that its end, by FIN or reset, was noticed at the deadline of 8 s only, in 8 of 8 cases; until then attempts of it that fail are repeated.

Now what comes behind eight requests is read on and kept up to 16 KiB; with more than that the client gets 429 behind its eight answers, as if it had come in one read, and what still comes is dropped; beyond the 256 KiB that are dropped at once it is read at a pace of 16 KiB a millisecond until its answers are written. After these, 256 KiB more are dropped before the connection is closed.

Also held now, passing before: repeats whose connection comes up after the client has gone, 40 clients that leave at once, attempts that fail later by 500, by 503 with X-Not-Run or by a reset, an answer not taken, each by FIN and by reset and with cancelling allowed and forbidden. Shown to fail in a scratch copy: where what has not run may begin though its client has gone, 6 of 12 cases (those with cancelling forbidden; else the module calls them off itself); where nobody hears that a client has gone, 37 of 38.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -28,8 +28,6 @@
     /** Requests that a client may send ahead of their answers on one connection. */
     private static final int MOST_AHEAD = 8;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
-    private static final Refusal TOO_MANY =
-        new Refusal(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
     private static final Refusal TWICE =
         new Refusal(HttpResponseStatus.CONFLICT, "X-Request-Id is that of a request in hand");
 
@@ -169,7 +167,7 @@
             frontend.refused(refusal);
             reply.giveUp(refusal);
         } else if (replies.size() > MOST_AHEAD) {
-            reply.giveUp(TOO_MANY);
+            reply.giveUp(RequestReader.TOO_MANY);
         } else {
             take(reply, (Incoming) message);
         }
--- a/edge/src/main/java/lemonrail/http1/ClientGuard.java
+++ b/edge/src/main/java/lemonrail/http1/ClientGuard.java
@@ -19,6 +19,8 @@
 
     /** Fired when a request has begun and has not become whole in time. */
     static final Object LATE = new Object();
+    /** Fired when more has come behind the requests in hand than is kept for later: nothing more is heard. */
+    static final Object FLOOD = new Object();
 
     /** A head must be whole so long after its first byte, the first one so long after the connect. */
     private static final int READ_MS = 2500;
@@ -33,6 +35,10 @@
     private static final int LINGER_MS = 300;
     private static final int MOST_LINGER_MS = 10_000;
     private static final int MOST_LINGERING_BYTES = 256 * 1024;
+    /** What is kept of what comes while as many requests as may be are in hand. */
+    private static final int MOST_WAITING_BYTES = 16 * 1024;
+    /** Between two reads of one who has sent more than that: enough to notice soon that it has gone. */
+    private static final int GLUT_MS = 1;
 
     /** What crosses the end of a time limit is read within this time. */
     private static final int CROSSING_MS = 1;
@@ -43,12 +49,12 @@
     private boolean begun;
     private boolean waiting;
     private boolean deaf;
-    /** As many requests as may be are in hand: what comes now waits here, and behind it nothing is read. */
+    /** As many requests as may be are in hand: what comes now waits here. */
     private boolean full;
     private ByteBuf held;
     /** The last answer is written. */
     private boolean said;
-    /** More than is dropped came while answers were owed: nothing more is read before these are written. */
+    /** More than is dropped came while answers were owed: until these are written it is read at a pace. */
     private boolean glutted;
     /** A time limit has given way once to what came in that very instant. */
     private boolean crossingRead;
@@ -136,8 +142,7 @@
             return;
         }
         if (full) {
-            held = held == null ? (ByteBuf) bytes : Unpooled.wrappedBuffer(held, (ByteBuf) bytes);
-            channel.config().setAutoRead(false);
+            keep(ctx, (ByteBuf) bytes);
             return;
         }
         hear(ctx, (ByteBuf) bytes);
@@ -147,8 +152,26 @@
         if (said) {
             channel.close();
         } else {
+            // Its end stands behind what it has sent, and is heard only once all that is read.
             glutted = true;
             channel.config().setAutoRead(false);
+            channel.eventLoop().schedule(this::readOn, GLUT_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void readOn() {
+        if (channel.isActive()) {
+            channel.read();
+        }
+    }
+
+    private void keep(ChannelHandlerContext ctx, ByteBuf bytes) {
+        held = held == null ? Unpooled.buffer(bytes.readableBytes(), Integer.MAX_VALUE) : held;
+        held.writeBytes(bytes);
+        bytes.release();
+        if (held.readableBytes() > MOST_WAITING_BYTES) {
+            goDeaf();
+            ctx.fireUserEventTriggered(FLOOD);
         }
     }
 
@@ -183,7 +206,7 @@
 
     /**
      * Whether as many requests as may be are in hand. The connection is read on, so that a client that goes
-     * is noticed, but what comes waits until there is room.
+     * is noticed, but what comes waits until there is room, as long as that is little.
      */
     void full(boolean on) {
         full = on;
@@ -196,9 +219,9 @@
         }
     }
 
-    /** Whether it has a place for what may come. */
+    /** Whether what comes is read as it comes. */
     boolean takes() {
-        return deaf ? !glutted : held == null;
+        return !glutted;
     }
 
     boolean isDeaf() {
@@ -271,7 +294,10 @@
         lastAnswer.addListener(written -> {
             said = true;
             if (written.isSuccess()) {
+                glutted = false;
+                mostUnheard = Math.max(mostUnheard, unheard + MOST_LINGERING_BYTES);
                 channel.shutdownOutput();
+                channel.config().setAutoRead(true);
                 linger(-1, clock.now() + mostLingerMs);
             } else {
                 channel.close();
--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -34,6 +34,9 @@
     static final Object HEAD_WHOLE = new Object();
     /** The same, of a client that waits to be asked for the body. */
     static final Object EXPECTS = new Object();
+    /** Said to who sends more requests ahead of their answers than are taken. */
+    static final Refusal TOO_MANY =
+        new Refusal(HttpResponseStatus.TOO_MANY_REQUESTS, "too many requests ahead of answers");
     /** Bodies up to this size are read even where there is no room for large ones. */
     private static final int SMALL_BYTES = 8 * 1024;
 
@@ -197,10 +200,11 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event != ClientGuard.LATE) {
+        if (event != ClientGuard.LATE && event != ClientGuard.FLOOD) {
             ctx.fireUserEventTriggered(event);
         } else if (!over) {
-            refuse(ctx, new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time"));
+            refuse(ctx, event == ClientGuard.FLOOD ? TOO_MANY
+                : new Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time"));
         }
     }
 
--- a/edge/src/test/java/lemonrail/assembly/ClientsThatLeaveTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientsThatLeaveTest.java
@@ -23,6 +23,14 @@
     /** What takes longer has waited for the deadline. */
     private static final double SOON_MS = DEADLINE_MS / 2.0;
     private static final int BURST = 3;
+    /** More than the module lets through at once, so that others are refused before they leave. */
+    private static final int MANY = 40;
+    /** What is read behind as many requests as may be in hand on one connection, and more than that. */
+    private static final int BEHIND_BYTES = 10_000;
+    private static final int FAR_BEHIND_BYTES = 100_000;
+    private static final int NOISE_BYTES = 1_000_000;
+    private static final int MOST_AHEAD = 8;
+    private static final int MOST_BYTES = 32 * 1024 * 1024;
 
     private Rig rig;
 
@@ -40,6 +48,7 @@
     }
 
     private void awaitKnown() throws InterruptedException {
+        long left = System.nanoTime();
         Rig.await("it is known that the clients have gone", () -> {
             try {
                 return rig.operate("GET", "/v1/metrics").body().contains("concurrent=0");
@@ -47,6 +56,7 @@
                 throw new UncheckedIOException(e);
             }
         });
+        assertTrue((System.nanoTime() - left) / 1e6 < SOON_MS, "long before their deadlines");
     }
 
     /** Guards against work for nobody: the connection comes up after its clients have gone. */
@@ -76,26 +86,171 @@
         }
     }
 
+    /** The same with many of them at once, of which only so many are let through. */
+    @ParameterizedTest
+    @CsvSource({"true,true", "true,false", "false,true", "false,false"})
+    void ofManyThatLeaveAtOnceNoneIsSent(boolean mayCancel, boolean byReset) throws Exception {
+        try (LateFake late = new LateFake()) {
+            rig = new Rig();
+            rig.cancel = mayCancel;
+            rig.change = config -> config.replace("\"servers\":[]",
+                "\"servers\":[" + Rig.line(0, late.address(), "in_service", 0) + "]");
+            rig.start();
+            List<Wire> clients = new ArrayList<>();
+            for (int i = 0; i < MANY; i++) {
+                clients.add(rig.client().send(rig.request("read", DEADLINE_MS)));
+            }
+            Rig.await("some wait for their connections", () -> rig.inHand() > 0);
+            rig.settle();
+            for (Wire client : clients) {
+                leave(client, byReset);
+            }
+            awaitKnown();
+            late.release();
+            Rig.await("nothing is out any more", () -> rig.inHand() == 0);
+            assertEquals("late", rig.ask("order", DEADLINE_MS).body(), "the endpoint is reached from now on");
+            assertEquals(1, late.asked.get(), "by who still waits alone");
+        }
+    }
+
+    /** Guards against a repeat for nobody: its connection comes up after the client has gone. */
+    @ParameterizedTest
+    @CsvSource({"true,true", "true,false", "false,true", "false,false"})
+    void aRepeatThatWaitsForAConnectionIsNotSent(boolean mayCancel, boolean byReset) throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        CountDownLatch failing = new CountDownLatch(BURST);
+        try (LateFake late = new LateFake()) {
+            Fake first = new Fake((wire, request) -> {
+                failing.countDown();
+                told.countDown();
+                Rig.await("the list is there", () -> rig.discovery.requests.size() == 2);
+                failing.await();
+                Fake.answer(wire, 503, "X-Not-Run: 1\r\n", "");
+            });
+            rig = new Rig(first);
+            rig.cancel = mayCancel;
+            rig.discovery.script = (wire, request) -> {
+                if (rig.discovery.requests.size() > 1) {
+                    wire.awaitEnd();
+                }
+                told.await();
+                Fake.answer(wire, 200, "", Rig.list(2, false, Rig.line(1, late.address(), "in_service", 0)));
+            };
+            rig.start();
+            List<Wire> clients = new ArrayList<>();
+            for (int i = 0; i < BURST; i++) {
+                clients.add(rig.client().send(rig.request("order", DEADLINE_MS)));
+            }
+            Rig.await("their first attempts have failed", () -> rig.attempts() == BURST);
+            rig.settle();
+            Rig.await("some wait for a second connection", () -> rig.inHand() > 0);
+            for (Wire client : clients) {
+                leave(client, byReset);
+            }
+            awaitKnown();
+            late.release();
+            Rig.await("nothing is out any more", () -> rig.inHand() == 0);
+            rig.settle();
+            assertEquals(0, late.asked.get());
+            assertEquals(BURST, rig.attempts());
+        }
+    }
+
     /** Guards against a repeat for nobody: the attempt fails after the client has gone. */
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void whatFailsLaterIsNotTriedAgain(boolean mayCancel) throws Exception {
+    @CsvSource({"true,true,500", "true,false,500", "false,true,500", "false,false,500", "false,true,503",
+        "false,false,503", "false,true,0", "false,false,0"})
+    void whatFailsLaterIsNotTriedAgain(boolean mayCancel, boolean byReset, int status) throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         Fake.Script failing = (wire, request) -> {
             release.await();
-            Fake.answer(wire, 500, "", "");
+            if (status == 0) {
+                wire.reset();
+            } else {
+                Fake.answer(wire, status, status == 503 ? "X-Not-Run: 1\r\n" : "", "");
+            }
         };
         rig = new Rig(new Fake(failing), new Fake(failing));
         rig.cancel = mayCancel;
         rig.start();
-        try (Wire client = rig.client()) {
-            client.send(rig.request("read", DEADLINE_MS));
-            Rig.await("it is out", () -> rig.attempts() == 1);
+        List<Wire> clients = new ArrayList<>();
+        for (int i = 0; i < BURST; i++) {
+            clients.add(rig.client().send(rig.request("read", DEADLINE_MS)));
+        }
+        Rig.await("they are out", () -> rig.attempts() == BURST);
+        for (Wire client : clients) {
+            leave(client, byReset);
+        }
+        awaitKnown();
+        release.countDown();
+        Rig.await("nothing is owed any more", () -> rig.inHand() == 0);
+        rig.settle();
+        assertEquals(BURST, rig.attempts());
+    }
+
+    /** Guards against repeats for who has gone unnoticed behind what came after the requests in hand. */
+    @ParameterizedTest
+    @CsvSource({"0,false", "0,true", "200,false", "200,true", BEHIND_BYTES + ",false", BEHIND_BYTES + ",true",
+        FAR_BEHIND_BYTES + ",false", FAR_BEHIND_BYTES + ",true", NOISE_BYTES + ",false",
+        NOISE_BYTES + ",true"})
+    void whoGoesBehindMoreThanIsTakenIsNoticed(int behindBytes, boolean byReset) throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Fake.Script failing = (wire, request) -> {
+            release.await();
+            Fake.answer(wire, 500, "", "");
+        };
+        rig = new Rig(new Fake(failing), new Fake(failing));
+        rig.cancel = false;
+        rig.start();
+        Wire client = rig.client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < MOST_AHEAD; i++) {
+            all.append(rig.request("read", DEADLINE_MS));
         }
+        client.send(all.toString());
+        Rig.await("those that may be are out", () -> rig.attempts() > 0 && rig.attempts() == rig.inHand());
+        rig.settle();
+        int out = rig.attempts();
+        String more = rig.request("read", DEADLINE_MS);
+        client.send(more.repeat(behindBytes / more.length()));
+        rig.settle();
+        leave(client, byReset);
+        awaitKnown();
+        release.countDown();
+        Rig.await("nothing is owed any more", () -> rig.inHand() == 0);
+        rig.settle();
+        assertEquals(out, rig.attempts());
+    }
+
+    /** The same for one that has not taken an answer: it is not read, as nothing more is written to it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whoGoesWithAnAnswerUntakenIsNoticed(boolean byReset) throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        Fake.Script script = (wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n");
+                begun.countDown();
+                wire.send("x".repeat(MOST_BYTES));
+            }
+            release.await();
+            Fake.answer(wire, 500, "", "");
+        };
+        rig = new Rig(new Fake(script), new Fake(script));
+        rig.cancel = false;
+        rig.start();
+        Wire client = rig.client();
+        client.send(rig.request("read", DEADLINE_MS) + rig.request("read", DEADLINE_MS));
+        begun.await();
+        Rig.await("the second is out", () -> rig.attempts() == 2);
+        rig.settle();
+        leave(client, byReset);
         awaitKnown();
         release.countDown();
         Rig.await("nothing is owed any more", () -> rig.inHand() == 0);
-        assertEquals(1, rig.attempts());
+        rig.settle();
+        assertEquals(2, rig.attempts());
     }
 
     /** Guards against clients that send much and go: who is not read is not noticed to have gone. */
