The cold ramp over the sum of 20, 30 and 1,000 balancers is counted in a fleet test

Need: the term that cold servers fall under the sum of all, with 2 x root of N + 2 put down to chance. The test counts each call that comes whole to a cold endpoint from a balancer that had been told of its start, in each window of the settings' length, against N of the window's first instant (the least of it); a third of the balancers learn up to 6 s late, and a quarter's connections come up to 1.5 s late.

The arithmetic behind it: w x max(4, B/S) balancers may each have one call out at a server of warmth w, so a window has at most w x B/S + w x c x W calls where none fails fast, and N is M x w x c x W: it holds for B/S up to (M - 1) x c x W, whatever the warmth; here 75 balancers for each server. Cold was not changed: who has one call in a minute can't tell what a warm server takes, and a cap on balancers keeps the cold server out where each has few calls.

--- a/lab/src/test/java/lemonrail/lab/fleet/Fleet.java
+++ b/lab/src/test/java/lemonrail/lab/fleet/Fleet.java
@@ -71,6 +71,8 @@
     private final Map<String, Integer> mostOpen = new HashMap<>();
     private final Map<String, Integer> served = new HashMap<>();
     private final TreeMap<Long, Integer> listCalls = new TreeMap<>();
+    /** When sends of members who had been told of its start came whole to a cold endpoint, by its id. */
+    private final Map<String, List<Double>> coldSends = new LinkedHashMap<>();
     private int named;
     int firstTries;
     int attempts;
@@ -173,6 +175,39 @@
         return listCalls.values().stream().mapToInt(calls -> calls).max().orElse(0);
     }
 
+    /**
+     * What cold endpoints were sent by those who had been told of their start, in the window of the settings
+     * in which it was the most for what they allow then. All that comes whole counts, also if turned away.
+     */
+    ColdWindow worstColdWindow() {
+        ColdWindow worst = new ColdWindow("none", 0, 0, 1);
+        for (Map.Entry<String, List<Double>> sends : coldSends.entrySet()) {
+            double startedMs = endpoints.get(sends.getKey()).startedMs();
+            List<Double> at = sends.getValue();
+            int first = 0;
+            for (int last = 0; last < at.size(); last++) {
+                while (at.get(last) - at.get(first) > TIP_MS) {
+                    first++;
+                }
+                // As little as it can do at any time of the window.
+                double sinceMs = Math.max(0, at.get(last) - TIP_MS - startedMs);
+                double warmth = COLD_SHARE + (1 - COLD_SHARE) * Math.min(1, sinceMs / COLD_MS);
+                ColdWindow window = new ColdWindow(sends.getKey(), at.get(last) - startedMs, last - first + 1,
+                    TIP_MULTIPLE * warmth * TIP_MS / MEAN_WORK_MS);
+                worst = window.share() > worst.share() ? window : worst;
+            }
+        }
+        return worst;
+    }
+
+    /** A window that ends so long after an endpoint's start, the calls it was sent then, and its budget. */
+    record ColdWindow(String id, double sinceStartMs, int sent, double budget) {
+        /** What was sent of the most that is put down to chance. */
+        double share() {
+            return sent / (budget + 2 * Math.sqrt(budget) + 2);
+        }
+    }
+
     /** One decider with its connections, its watch and its open requests. */
     final class Member implements Actions {
         private final Settings settings;
@@ -183,11 +218,17 @@
         private final Map<String, List<Agenda.Due>> idle = new HashMap<>();
         private final Map<String, Double> leftAt = new HashMap<>();
         private final Set<String> listed = new HashSet<>();
+        /** The starts that it has been told of. */
+        private final Map<String, Double> told = new HashMap<>();
         private long version;
         private long watch;
         private int numbered;
         /** The watch that is on gets no answer, though nothing says so. */
         boolean deaf;
+        /** So much later than others it hears of changes. */
+        double lateMs;
+        /** The most by which a connection that it opens comes up late. */
+        double lateConnectionMs;
 
         Member(int number, int of, long seed) {
             settings = new Settings(of, number, 0, 0, false, false, 0.2, 0, List.of(
@@ -222,6 +263,7 @@
                     leftAt.putIfAbsent(server.id(), agenda.nowMs());
                 }
             }
+            answer.lines().forEach(line -> told.put(line.id(), line.startedMs()));
             decide.onServers(now(), answer.full() ? ListKind.FULL : ListKind.DELTA, servers);
             watch();
         }
@@ -239,19 +281,24 @@
         private void watch() {
             long call = ++watch;
             listCalls.merge((long) (agenda.nowMs() / 1000), 1, Integer::sum);
-            agenda.after(pace.waitMs() + WatchPace.silenceMs(), () -> {
+            agenda.after(pace.waitMs() + WatchPace.silenceMs() + lateMs, () -> {
                 if (call == watch) {
                     deaf = false;
                     agenda.after(pace.failed(), this::watch);
                 }
             });
-            agent.watch(version, pace.waitMs(), answer -> agenda.after(0, () -> {
+            agent.watch(version, pace.waitMs(), answer -> agenda.after(lateMs, () -> {
                 if (call == watch && !deaf) {
                     listed(answer);
                 }
             }));
         }
 
+        /** Whether it has been told of this endpoint's last start. */
+        private boolean knowsOfStart(String id) {
+            return told.getOrDefault(id, Double.NaN) == endpoints.get(id).startedMs();
+        }
+
         /** Whether it has been told that this endpoint leaves. */
         boolean knowsOfLeaving(String id) {
             return leftAt.containsKey(id);
@@ -333,7 +380,8 @@
                 made.connected = true;
                 int now = open.merge(made.server, 1, Integer::sum);
                 mostOpen.merge(made.server, now, Math::max);
-                agenda.after(2 * NET_MS, () -> endpoint.handshake(made::arrive));
+                double lateMs = lateConnectionMs > 0 ? random.nextDouble() * lateConnectionMs : 0;
+                agenda.after(2 * NET_MS + lateMs, () -> endpoint.handshake(made::arrive));
             }
         }
 
@@ -432,7 +480,11 @@
             private void arrive() {
                 if (outcome == null) {
                     arrived = true;
-                    endpoints.get(server).offer(this);
+                    Endpoint endpoint = endpoints.get(server);
+                    if (endpoint.warmth() < 1 && knowsOfStart(server)) {
+                        coldSends.computeIfAbsent(server, id -> new ArrayList<>()).add(agenda.nowMs());
+                    }
+                    endpoint.offer(this);
                 }
             }
 
--- a/lab/src/test/java/lemonrail/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/lemonrail/lab/fleet/FleetTest.java
@@ -91,4 +91,37 @@
         assertEquals(deciders, know[0], "know of it after 4.5 s");
         assertTrue(fleet.mostListCalls() <= 3 * deciders, fleet.mostListCalls() + " calls for the list");
     }
+
+    /**
+     * Guards against cold endpoints that fall under the sum of what all send, each of them within its part:
+     * some learn late of the start, by up to the time in which it binds, and some connections come up late.
+     * Counted is what comes whole from those who had been told; what others send isn't ours.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 60, 0.5, false, 1", "20, 60, 4, false, 2", "30, 9, 0.5, true, 3", "30, 3, 0.8, true, 4",
+        "30, 2, 4, false, 5", "1000, 9, 0.5, false, 6", "1000, 9, 0.5, true, 7", "1000, 9, 4, false, 8",
+        "1000, 3, 1.5, false, 9", "1000, 90, 0.5, true, 10"})
+    void coldEndpointsBearTheSumOfAll(int deciders, int servers, double load, boolean othersHang, long seed) {
+        Fleet fleet = new Fleet(deciders, servers, load, seed);
+        for (int i = 0; i < deciders; i++) {
+            Fleet.Member member = fleet.members.get(i);
+            member.lateMs = i % 3 == 0 ? 6000.0 * i / deciders : 0;
+            member.lateConnectionMs = i % 4 == 0 ? 1500 : 0;
+        }
+        List<String> all = List.copyOf(fleet.endpoints.keySet());
+        int replaced = Math.max(1, servers / 3);
+        for (int i = 0; i < replaced; i++) {
+            String id = all.get(i);
+            fleet.agenda.after(10_000 + 7000.0 * i / replaced, () -> fleet.replace(id));
+        }
+        if (othersHang) {
+            fleet.agenda.after(12_000, () ->
+                all.subList(servers / 2, servers).forEach(id -> fleet.endpoints.get(id).hang(true)));
+        }
+        fleet.play(30_000);
+        keepsTheRules(fleet);
+        Fleet.ColdWindow worst = fleet.worstColdWindow();
+        assertTrue(worst.sent() > 1, "they do get calls: " + worst);
+        assertTrue(worst.share() <= 1, worst.toString());
+    }
 }
