Lab: what a sidecar adds to a call, side by side, along a chain and by growth

Nobody could say what a sidecar costs at its real rate of 390 calls/s: the generator's timers were up to 1 ms late, its warm-up counted, and no chain was measured.

scale-path plays a direct call, the bare relay and a sidecar (by the command of deploy/balancer.toml) in turn, by loops that never sleep; a chain 7 deep with its own sidecar at each step, whose stand-ins know each call's own addition; rates, endpoints and connections with their fits. Rows during which caller or stand-in was late by more than 0.1 ms are void. Processor time comes from /proc, by kind of thread, with the time for which threads had no core. Verdict against 0.42 ms for 99 in 100; 1 where it is missed.

--- a/lab/src/main/java/lemonrail/lab/host/Caller.java
+++ b/lab/src/main/java/lemonrail/lab/host/Caller.java
@@ -88,6 +88,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final int most;
+    private final boolean spread;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Deque<Call> waiting = new ArrayDeque<>();
     private int open;
@@ -97,6 +98,12 @@
 
     /** Clients with so many connections at most. */
     public Caller(EventLoop loop, InetSocketAddress address, int most) {
+        this(loop, address, most, false);
+    }
+
+    /** The same; where calls are spread, all connections are opened and used in turn. */
+    public Caller(EventLoop loop, InetSocketAddress address, int most, boolean spread) {
+        this.spread = spread;
         this.loop = loop;
         this.address = address;
         this.most = most;
@@ -129,7 +136,7 @@
     }
 
     private void dispatch(Call call) {
-        Connection kept = idle.pollLast();
+        Connection kept = !spread ? idle.pollLast() : open < most ? null : idle.pollFirst();
         if (kept != null) {
             kept.begin(call);
         } else if (open < most) {
--- a/lab/src/main/java/lemonrail/lab/load/Loads.java
+++ b/lab/src/main/java/lemonrail/lab/load/Loads.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -22,8 +24,30 @@
 /** Plays one load from its first request to its last answer, on a loop of its own. */
 public final class Loads implements AutoCloseable {
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-        new DefaultThreadFactory("load", true), NioIoHandler.newFactory());
+    /** Is told, on the thread that waits for a load, where what counts begins and ends. */
+    public interface Watcher {
+        /** The warm-up is over. */
+        void begun() throws IOException;
+
+        /** The load ends in {@link #ENDING_MS}, and so many requests that count have been sent. */
+        void ending(long sent) throws IOException;
+    }
+
+    /** A watcher hears of a load's end so long before it, when all connections are still open. */
+    public static final int ENDING_MS = 50;
+
+    private final EventLoopGroup group;
+
+    /** Loads on a loop of their own. */
+    public Loads() {
+        this(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("load", true),
+            NioIoHandler.newFactory()));
+    }
+
+    /** Loads on the first loop of this group, which ends with them. */
+    public Loads(EventLoopGroup group) {
+        this.group = group;
+    }
 
     /** Requests of one form; each has a fresh id, and a fresh key where it is a keyed one. */
     public static IntFunction<FullHttpRequest> requests(HttpMethod method, String host, String path,
@@ -45,12 +69,28 @@
     /** Plays a load; an interrupt ends it early, and stays with the thread. */
     public OpenLoop.Result play(InetSocketAddress address, OpenLoop.Plan plan, long seed,
             IntFunction<FullHttpRequest> requests) {
+        try {
+            return play(address, plan, seed, requests, null);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The same, watched; an interrupted load's watcher may hear of neither beginning nor end. */
+    public OpenLoop.Result play(InetSocketAddress address, OpenLoop.Plan plan, long seed,
+            IntFunction<FullHttpRequest> requests, Watcher watcher) throws IOException {
         EventLoop loop = (EventLoop) group.next();
         OpenLoop load = new OpenLoop(loop, address, plan,
             new Arrivals(plan.rate(), plan.spacing(), RandomSource.XO_SHI_RO_256_PP.create(seed)), requests);
         CountDownLatch over = new CountDownLatch(1);
         load.start(over::countDown);
         try {
+            if (watcher != null) {
+                over.await((long) plan.warmUpMs(), TimeUnit.MILLISECONDS);
+                watcher.begun();
+                over.await((long) (plan.lengthMs() - plan.warmUpMs()) - ENDING_MS, TimeUnit.MILLISECONDS);
+                watcher.ending(loop.submit(load::sent).syncUninterruptibly().getNow());
+            }
             over.await();
         } catch (InterruptedException e) {
             loop.execute(load::stop);
--- a/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
+++ b/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
@@ -26,9 +26,16 @@
      *
      * @param warmUpMs before anything counts
      * @param timeoutMs after which a request is given up
+     * @param spread all connections are used in turn, and not as few as will do
      */
     public record Plan(double rate, double lengthMs, double warmUpMs, int connections, double timeoutMs,
-            Arrivals.Spacing spacing) {
+            Arrivals.Spacing spacing, boolean spread) {
+
+        /** Load on as few connections as will do. */
+        public Plan(double rate, double lengthMs, double warmUpMs, int connections, double timeoutMs,
+                Arrivals.Spacing spacing) {
+            this(rate, lengthMs, warmUpMs, connections, timeoutMs, spacing, false);
+        }
     }
 
     /**
@@ -79,7 +86,7 @@
         this.plan = plan;
         this.arrivals = arrivals;
         this.requests = requests;
-        caller = new Caller(loop, address, plan.connections());
+        caller = new Caller(loop, address, plan.connections(), plan.spread());
     }
 
     /** Begins; {@code over} is called once all has been sent and has ended. */
@@ -150,6 +157,11 @@
         dueMs = Double.POSITIVE_INFINITY;
     }
 
+    /** Requests that were sent so far, warm-up excluded. */
+    public long sent() {
+        return sent;
+    }
+
     /** Requests of all kinds that were sent and have ended so far, warm-up excluded. */
     public Result result() {
         return new Result(plan, sent, served, refused, failed, lost, micros.copy(),
--- a/lab/src/main/java/lemonrail/lab/report/Charts.java
+++ b/lab/src/main/java/lemonrail/lab/report/Charts.java
@@ -32,7 +32,7 @@
 import org.jfree.svg.SVGGraphics2D;
 
 /** Draws charts, each as SVG and as PNG. */
-final class Charts {
+public final class Charts {
 
     private static final int WIDTH = 900;
     private static final int HEIGHT = 420;
@@ -43,7 +43,8 @@
 
     private final Path folder;
 
-    Charts(Path folder) {
+    /** Charts that go into this folder. */
+    public Charts(Path folder) {
         this.folder = folder;
     }
 
@@ -69,7 +70,7 @@
     }
 
     /** Lines over numbers; either axis may be logarithmic. */
-    void lines(String name, String title, String x, String y, XYSeriesCollection lines, boolean logX,
+    public void lines(String name, String title, String x, String y, XYSeriesCollection lines, boolean logX,
             boolean logY) throws IOException {
         JFreeChart chart = ChartFactory.createXYLineChart(title, x, y, lines, PlotOrientation.VERTICAL, true,
             false, false);
--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathVerdictTest.java
@@ -0,0 +1,138 @@
+package lemonrail.lab.scale.path;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import lemonrail.lab.scale.path.PathRow.Part;
+import lemonrail.lab.scale.path.PathRow.Way;
+import lemonrail.lab.scale.path.PathVerdict.Compared;
+import lemonrail.lab.scale.path.ProcessUsage.Kind;
+import lemonrail.lab.scale.path.ProcessUsage.Threads;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The arithmetic of rows and verdict. */
+class PathVerdictTest {
+
+    private static final ProcessUsage USAGE = new ProcessUsage(40, Map.of("1/1", new Threads(Kind.LOOP, 36, 3,
+        500), "1/2", new Threads(Kind.COMPILER, 4, 1, 20)), 70, 40);
+
+    /** 1,000 calls: 980 that took {@code fastMicros}, and 20 that took {@code slowMicros}. */
+    private static PathRow row(Way way, int step, long fastMicros, long slowMicros, double lateMs,
+            long served) {
+        Histogram micros = new Histogram(3);
+        micros.recordValueWithCount(fastMicros, 980);
+        micros.recordValueWithCount(slowMicros, 20);
+        return new PathRow(step > 0 ? Part.CHAIN : Part.SIDE_BY_SIDE, way, 1, step, 10, 64, 390, 1000, served,
+            micros, 800, 2000, USAGE, lateMs, 0.01, 0, 1.5);
+    }
+
+    private static Compared compared(long slowMicros, double lateMs, long served) {
+        return new Compared(390, row(Way.DIRECT, 0, 50, 100, 0.01, 1000),
+            row(Way.RELAY, 0, 90, 160, 0.01, 1000), row(Way.SIDECAR, 0, 150, slowMicros, lateMs, served));
+    }
+
+    @Test
+    void whatIsAddedIsTheDifferenceToADirectCall() {
+        Compared compared = compared(500, 0.01, 1000);
+        assertEquals(0.100, compared.addedMs(50), 0.001);
+        assertEquals(0.400, compared.addedMs(99), 0.001);
+        assertEquals(0.060, compared.relayAddsMs(99), 0.001);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // slowest of the sidecar, of a step, lateness, served | whole, met
+        "515, 415, 0.01, 1000, true,  true",
+        "525, 415, 0.01, 1000, true,  false",
+        "515, 425, 0.01, 1000, true,  false",
+        "515, 415, 0.11, 1000, false, false",
+        "515, 415, 0.01, 999,  true,  true",
+        "515, 415, 0.01, 998,  true,  false",
+    })
+    void theTargetHoldsAtEachRateAndStep(long slowMicros, long stepMicros, double lateMs, long served,
+            boolean whole, boolean met) {
+        PathVerdict verdict = PathVerdict.of(List.of(compared(400, 0.01, 1000),
+            compared(slowMicros, lateMs, served)), List.of(row(Way.SIDECAR, 1, 150, 300, 0.01, 1000),
+            row(Way.SIDECAR, 2, 150, stepMicros, 0.01, 1000)));
+        assertEquals(whole, verdict.whole());
+        assertEquals(met, verdict.isMet(), verdict.toString());
+        assertEquals(met || !whole, verdict.missed().isEmpty(), verdict.toString());
+    }
+
+    @Test
+    void nothingMeasuredShowsNothing() {
+        PathRow step = row(Way.SIDECAR, 1, 150, 300, 0.01, 1000);
+        assertFalse(PathVerdict.of(List.of(), List.of(step)).isMet());
+        assertFalse(PathVerdict.of(List.of(compared(400, 0.01, 1000)), List.of()).isMet());
+        PathRow empty = new PathRow(Part.CHAIN, Way.SIDECAR, 1, 1, 1, 64, 390, 0, 0, new Histogram(3), 0,
+            2000, USAGE, 0, 0, 0, 0);
+        assertFalse(PathVerdict.of(List.of(compared(400, 0.01, 1000)), List.of(empty)).isMet());
+    }
+
+    @Test
+    void processorTimeIsSharedOutOverTheCallsOfItsTime() {
+        PathRow row = row(Way.SIDECAR, 0, 50, 100, 0.01, 1000);
+        assertEquals(50, row.cpuUs(), 1e-9);
+        assertEquals(50, row.statUs(), 1e-9);
+        assertEquals(45, row.cpuUs(Kind.LOOP), 1e-9);
+        assertEquals(5, row.cpuUs(Kind.COMPILER), 1e-9);
+        assertEquals(0, row.cpuUs(Kind.VM), 1e-9);
+        assertEquals(5, row.noCoreUs(), 1e-9);
+        assertEquals(0.65, row.wakeups(), 1e-9);
+        assertEquals(2, row.cpuPercent(), 1e-9);
+        assertEquals(400, row.realRate(), 1e-9);
+        assertEquals(PathRow.HEADER.split(",").length, row.csv().split(",", -1).length);
+    }
+
+    @Test
+    void roundsTogetherAreAllTheirCalls() {
+        PathRow all = PathRow.merged(List.of(row(Way.SIDECAR, 0, 50, 100, 0.01, 1000),
+            row(Way.SIDECAR, 0, 70, 200, 0.05, 990)));
+        assertEquals(2000, all.sent());
+        assertEquals(1990, all.served());
+        assertEquals(2000, all.micros().getTotalCount());
+        assertEquals(50, all.cpuUs(), 1e-9);
+        assertEquals(0.05, all.late99Ms(), 1e-9);
+        assertTrue(all.ms(99) > all.ms(50));
+    }
+
+    @Test
+    void threadsThatHaveEndedTakeNothingAway() {
+        ProcessUsage before = new ProcessUsage(10, Map.of("1/1", new Threads(Kind.LOOP, 5, 1, 10), "1/9",
+            new Threads(Kind.COMPILER, 300, 50, 70)), 60, 30);
+        ProcessUsage used = USAGE.since(before);
+        assertEquals(31 + 4, used.cpuMs(), 1e-9);
+        assertEquals(4, used.of(Kind.COMPILER).ranMs(), 1e-9);
+        assertEquals(2 + 1, used.waitedMs(), 1e-9);
+        assertEquals(490 + 20, used.wakeups());
+        assertEquals(30, used.statMs(), 1e-9);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"sidecar-1-1, LOOP", "multiThreadIoEv, LOOP", "C1 CompilerThre, COMPILER", "VM Thread, VM",
+        "VM Periodic Tas, VM", "log, OTHER"})
+    void threadsAreKnownByTheirNames(String name, Kind kind) {
+        assertEquals(kind, ProcessUsage.kind(name));
+    }
+
+    @Test
+    void aLineIsFittedByLeastSquares() {
+        LinearFit line = LinearFit.of(List.of(new LinearFit.Point(0, 3), new LinearFit.Point(10, 23),
+            new LinearFit.Point(20, 43)));
+        assertEquals(2, line.slope(), 1e-9);
+        assertEquals(3, line.intercept(), 1e-9);
+        assertEquals(1, line.r2(), 1e-9);
+        // By hand: means 2 and 4; xx = 2, xy = 1, yy = 2.
+        LinearFit loose = LinearFit.of(List.of(new LinearFit.Point(1, 4), new LinearFit.Point(2, 3),
+            new LinearFit.Point(3, 5)));
+        assertEquals(0.5, loose.slope(), 1e-9);
+        assertEquals(3, loose.intercept(), 1e-9);
+        assertEquals(0.25, loose.r2(), 1e-9);
+    }
+}
