Lab: the baseline is one with the data path's measurements

baseline and scale-path measured the same thing twice, the former with a warm-up that counted, another JVM for the relay and a generator late by up to 1 ms; an interrupt lost its rows, as the process ended before they were written (seen: no table after SIGTERM).

BaselineTest is replaced by PathReportTest, which asserts the same of tables, void marks, raw data and charts, and the verdict besides.

--- a/lab/src/main/java/lemonrail/lab/Main.java
+++ b/lab/src/main/java/lemonrail/lab/Main.java
@@ -2,7 +2,6 @@
 
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
-import lemonrail.lab.cli.BaselineCall;
 import lemonrail.lab.cli.CompareCall;
 import lemonrail.lab.cli.HistoryCall;
 import lemonrail.lab.cli.LoadCall;
@@ -19,7 +18,7 @@
 @Command(name = "lemonrail", description = "Stand-ins and load for an edge.", scope = ScopeType.INHERIT,
     mixinStandardHelpOptions = true, subcommands = {DemoCall.class, RunCall.class, CompareCall.class,
         SweepCall.class, LoadCall.class, ReportCall.class, HistoryCall.class,
-        BaselineCall.class, RelayCall.class, ScalePathCall.class})
+        RelayCall.class, ScalePathCall.class})
 public final class Main {
 
     private Main() {
--- a/lab/src/main/java/lemonrail/lab/cli/ScalePathCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScalePathCall.java
@@ -30,6 +30,9 @@
         description = "each measurement (default: ${DEFAULT-VALUE})")
     private double lengthMs;
 
+    @Option(names = "--ramp", description = "search for the maximum rate of each way as well")
+    private boolean ramp;
+
     @Option(names = "--small", description = "the small form of seconds, whose figures say nothing")
     private boolean small;
 
@@ -39,7 +42,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
-        PathPlan plan = small ? PathPlan.small() : PathPlan.large(rounds, lengthMs);
+        PathPlan plan = small ? PathPlan.small() : PathPlan.large(rounds, lengthMs, ramp);
         PathReport report = new PathReport(line -> {
             out.println(line);
             out.flush();
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
@@ -108,10 +108,11 @@
         side(text);
         fits(text);
         chain(text);
-        for (Part part : List.of(Part.RATE, Part.ENDPOINTS, Part.CONNECTIONS)) {
+        for (Part part : List.of(Part.RATE, Part.ENDPOINTS, Part.CONNECTIONS, Part.RAMP)) {
             text.append("\n## By ").append(switch (part) {
                 case RATE -> "calls a second";
                 case ENDPOINTS -> "endpoints listed";
+                case RAMP -> "calls a second, up to the first rate that is not kept";
                 default -> "client connections in use";
             }).append("\n\n");
             table(text, merged(row -> row.part() == part));
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathRow.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathRow.java
@@ -28,7 +28,7 @@
         double away99Ms, long waited, double load) {
 
     /** What was varied. */
-    enum Part { WARM_UP, SIDE_BY_SIDE, RATE, ENDPOINTS, CONNECTIONS, CHAIN }
+    enum Part { WARM_UP, SIDE_BY_SIDE, RATE, ENDPOINTS, CONNECTIONS, CHAIN, RAMP }
 
     /** Who stands between. */
     enum Way { DIRECT, RELAY, SIDECAR }
@@ -36,6 +36,9 @@
     /** Beyond a quarter of what may be added, the lab's own lateness makes the figures. */
     static final double MOST_LATE_MS = PathVerdict.MOST_ADDED_MS / 4;
 
+    private static final double RAMP_KEEPS = 0.99;
+    private static final double RAMP_MOST_MS = 50;
+
     static final String HEADER = "part,way,round,step,endpoints,connections,rate,sent,served,p50_ms,p99_ms,"
         + "p999_ms,cpu_us,stat_us,loop_us,compiler_us,vm_us,other_us,no_core_us,wakeups,cpu_percent,rss_mb,"
         + "descriptors,late99_ms,away99_ms,load,void";
@@ -50,6 +53,11 @@
         return sent - served > sent / 1000;
     }
 
+    /** Whether a rate was kept: nearly all was served, and none too late. */
+    boolean isKept() {
+        return !isVoid() && served >= sent * RAMP_KEEPS && ms(99) <= RAMP_MOST_MS;
+    }
+
     double ms(double percentile) {
         return micros.getTotalCount() == 0 ? Double.NaN : micros.getValueAtPercentile(percentile) / 1e3;
     }
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
@@ -98,6 +98,9 @@
         warm(routes.get(1));
         sideBySide(routes);
         curve(List.of(routes.get(1), way));
+        for (Route route : routes) {
+            ramp(route);
+        }
         for (int connections : plan.connections()) {
             for (int round = 1; round <= turns(); round++) {
                 add(measure(Part.CONNECTIONS, way, round, connections, PathPlan.TARGET_RATE, true));
@@ -259,6 +262,17 @@
         }
     }
 
+    /** Raises the rate until it is not kept. */
+    private void ramp(Route route) throws IOException, InterruptedException {
+        for (int rate : plan.ramp()) {
+            PathRow row = measure(Part.RAMP, route, 1, USUAL_CONNECTIONS, rate, false);
+            add(row);
+            if (!row.isKept()) {
+                return;
+            }
+        }
+    }
+
     private void endpoints(List<InetSocketAddress> plain) throws IOException, InterruptedException {
         List<Route> routes = new ArrayList<>();
         for (int count : plan.endpoints()) {
--- /dev/null
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathReportTest.java
@@ -0,0 +1,97 @@
+package lemonrail.lab.scale.path;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import lemonrail.lab.scale.path.PathRow.Part;
+import lemonrail.lab.scale.path.PathRow.Way;
+import lemonrail.lab.scale.path.ProcessUsage.Kind;
+import lemonrail.lab.scale.path.ProcessUsage.Threads;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PathReportTest {
+
+    @TempDir
+    private Path folder;
+    private final PathReport report = new PathReport(line -> { });
+
+    private void add(Part part, Way way, int round, int step, int endpoints, long micros, double lateMs) {
+        Histogram all = new Histogram(3);
+        all.recordValueWithCount(micros, 1000);
+        report.add(new PathRow(part, way, round, step, endpoints, 64, 390, 1000, endpoints == 20 ? 500 : 1000,
+            all, 1000, 2500,
+            way == Way.DIRECT ? ProcessUsage.NONE : new ProcessUsage(120, Map.of("1/1", new Threads(Kind.LOOP,
+                100 + endpoints, 2, 900)), 70, 40), lateMs, 0.01, 0, 1.5));
+    }
+
+    private void addSound() {
+        add(Part.SIDE_BY_SIDE, Way.DIRECT, 1, 0, 1, 100, 0.01);
+        add(Part.SIDE_BY_SIDE, Way.RELAY, 1, 0, 1, 150, 0.01);
+        add(Part.SIDE_BY_SIDE, Way.SIDECAR, 1, 0, 10, 400, 0.01);
+        add(Part.CHAIN, Way.SIDECAR, 1, 1, 1, 300, 0.01);
+    }
+
+    @Test
+    void rowsGoIntoTheirTablesAndVoidOnesAreMarked() throws Exception {
+        addSound();
+        add(Part.ENDPOINTS, Way.SIDECAR, 1, 0, 10, 400, 0.01);
+        add(Part.ENDPOINTS, Way.SIDECAR, 1, 0, 20, 400, 0.01);
+        add(Part.RAMP, Way.SIDECAR, 1, 0, 10, 400, 0.2);
+        report.keep(folder, "v");
+        String text = Files.readString(folder.resolve("path.md"));
+        assertTrue(text.contains("**Target met.**"), text);
+        assertTrue(text.contains("| 390 | sidecar | 0.300 | 0.300 | 0.300 | 0.300 |"), text);
+        assertTrue(text.contains("| 390 | relay | 0.050 | 0.050 | 0.050 | 0.050 |"), text);
+        assertTrue(text.contains("| sidecar | 20 | 64 | 390 | 500 of 1000 | 0.400 | 0.400 | 0.400 | 120 | "
+            + "120 |"), text);
+        assertTrue(text.contains("| sidecar (void) | 10 | 64 | 390 |"), text);
+        // 10 endpoints more cost 10 µs a call more.
+        assertTrue(text.contains("| CPU, µs a call, for each 1,000 endpoints listed | 1000.0000 | 100.00 "
+            + "| 1.000 | 2 |"), text);
+        assertEquals(1 + 7, Files.readAllLines(folder.resolve("path.csv")).size());
+        for (String chart : List.of("path-cpu.svg", "path-chain.svg")) {
+            assertTrue(Files.size(folder.resolve(chart)) > 500, chart);
+        }
+    }
+
+    @Test
+    void voidRoundsAreLeftOutWhereThereAreOthers() throws Exception {
+        addSound();
+        add(Part.SIDE_BY_SIDE, Way.SIDECAR, 2, 0, 10, 9000, 0.5);
+        assertEquals(0.3, report.compared().get(0).addedMs(99), 0.001);
+        assertTrue(report.isMet());
+        report.keep(folder, "v");
+        String text = Files.readString(folder.resolve("path.md"));
+        assertTrue(text.contains("5 measurements, 1 void."), text);
+    }
+
+    @Test
+    void onlyVoidRoundsShowNothing() throws Exception {
+        add(Part.SIDE_BY_SIDE, Way.DIRECT, 1, 0, 1, 100, 0.01);
+        add(Part.SIDE_BY_SIDE, Way.RELAY, 1, 0, 1, 150, 0.01);
+        add(Part.SIDE_BY_SIDE, Way.SIDECAR, 1, 0, 10, 200, 0.5);
+        add(Part.CHAIN, Way.SIDECAR, 1, 1, 1, 300, 0.01);
+        assertFalse(report.isMet());
+        report.keep(folder, "v");
+        String text = Files.readString(folder.resolve("path.md"));
+        assertTrue(text.contains("**Nothing shown: rows are void or missing.**"), text);
+        assertTrue(text.contains("| 390 | sidecar (void) |"), text);
+    }
+
+    @Test
+    void aTargetThatIsMissedIsNamed() throws Exception {
+        addSound();
+        add(Part.CHAIN, Way.SIDECAR, 1, 2, 1, 500, 0.01);
+        assertFalse(report.isMet());
+        report.keep(folder, "v");
+        String text = Files.readString(folder.resolve("path.md"));
+        assertTrue(text.contains("**Target missed.**\n- step 2 of the chain: 0.500 ms added"), text);
+    }
+}
--- a/lab/src/test/java/lemonrail/lab/scale/path/PathRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathRunTest.java
@@ -51,6 +51,8 @@
         report.keep(folder.resolve("kept"), "v");
         assertEquals(rows.size() + 1, Files.readAllLines(folder.resolve("kept").resolve("path.csv")).size());
         String page = Files.readString(folder.resolve("kept").resolve("path.md"));
+        assertTrue(rows.stream().filter(row -> row.part() == Part.RAMP).map(PathRow::way).collect(
+            Collectors.toSet()).size() == Way.values().length, "a ramp for each way");
         assertTrue(page.contains("| 100 | sidecar") && page.contains("| step 2"), page);
         assertTrue(Files.size(folder.resolve("kept").resolve("path-chain.svg")) > 500);
     }
