Control nodes: they serve watches, watch each other, and take operators' changes

A change had no way to everyone but a file and a signal at each process. A node serves the platform's watch (whole lists and changes, for the services that a watcher names, several together where changes pour, one text for all who lack the same), watches each other node by the same protocol, takes changes at its door and by its interface, keeps what it knows for its next start, and answers 503 before it knows anything. Operators see who watches, the oldest settings in force and who has refused which.

The door takes other calls than a sidecar's, with bodies. A list whose line names no zone or kind ended in a null pointer where the names came from List.of, as the operators' form has it: seen to fail in aPlainWatchIsServedByThePlatformsProtocol before the change of ServerList.

--- /dev/null
+++ b/edge/src/main/java/lemonrail/admin/Answer.java
@@ -0,0 +1,18 @@
+package lemonrail.admin;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/**
+ * An answer of the door.
+ *
+ * @param text ends with a line break
+ * @param allowed the only method of this path, where another was used; else null
+ */
+public record Answer(HttpResponseStatus status, String text, HttpMethod allowed) {
+
+    /** An answer of one line. */
+    public static Answer of(HttpResponseStatus status, String line) {
+        return new Answer(status, line + "\n", null);
+    }
+}
--- a/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
+++ b/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -42,6 +43,7 @@
     private static final int MOST_LINE_BYTES = 2048;
     private static final int MOST_HEAD_BYTES = 8192;
     private static final int MOST_CHUNK_BYTES = 4096;
+    /** What a call's body may have, where the calls need none. */
     private static final int MOST_BODY_BYTES = 4096;
     /** A call must be whole so long after the connect. */
     private static final int CALL_MS = 2500;
@@ -50,7 +52,8 @@
 
     private final EventLoop loop;
     private final ByteBufAllocator buffers;
-    private final Router router;
+    private final Calls calls;
+    private final int mostBodyBytes;
     private final BiConsumer<String, Throwable> bugs;
     /** Those without a whole call, the oldest first, and those that take their answer. */
     private final Set<Connection> silent = new LinkedHashSet<>();
@@ -60,10 +63,21 @@
     /** A door on this loop; what goes wrong in it is told to {@code bugs}. */
     public OperatorsDoor(EventLoop loop, ByteBufAllocator buffers, Operations operations,
             BiConsumer<String, Throwable> bugs) {
+        this(loop, buffers, calls(new Router(operations)), MOST_BODY_BYTES, bugs);
+    }
+
+    /** A door to other calls, whose bodies may have so many bytes. */
+    public OperatorsDoor(EventLoop loop, ByteBufAllocator buffers, Calls calls, int mostBodyBytes,
+            BiConsumer<String, Throwable> bugs) {
         this.loop = loop;
         this.buffers = buffers;
+        this.calls = calls;
+        this.mostBodyBytes = mostBodyBytes;
         this.bugs = bugs;
-        router = new Router(operations);
+    }
+
+    private static Calls calls(Router router) {
+        return (method, uri, body) -> router.route(method, uri);
     }
 
     /** Opens the door. */
@@ -78,7 +92,7 @@
                 protected void initChannel(SocketChannel accepted) {
                     accepted.pipeline().addLast(
                         new HttpServerCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES),
-                        new HttpObjectAggregator(MOST_BODY_BYTES), new Connection(accepted));
+                        new HttpObjectAggregator(mostBodyBytes), new Connection(accepted));
                 }
             })
             .bind(address);
@@ -113,7 +127,7 @@
         public void channelActive(ChannelHandlerContext ctx) {
             silent.add(this);
             makeRoom();
-            limit = loop.schedule(() -> answer(Router.Answer.of(HttpResponseStatus.REQUEST_TIMEOUT,
+            limit = loop.schedule(() -> answer(Answer.of(HttpResponseStatus.REQUEST_TIMEOUT,
                 "no whole call in time")), CALL_MS, TimeUnit.MILLISECONDS);
         }
 
@@ -123,20 +137,20 @@
                 return;
             }
             if (call.decoderResult().isFailure()) {
-                answer(Router.Answer.of(HttpResponseStatus.BAD_REQUEST, "malformed call"));
+                answer(Answer.of(HttpResponseStatus.BAD_REQUEST, "malformed call"));
                 return;
             }
-            Router.Answer answer;
+            Answer answer;
             try {
-                answer = router.route(call.method(), call.uri());
+                answer = calls.answer(call.method(), call.uri(), ByteBufUtil.getBytes(call.content()));
             } catch (RuntimeException e) {
                 bugs.accept("a call of the operators failed", e);
-                answer = Router.Answer.of(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed: see the log");
+                answer = Answer.of(HttpResponseStatus.INTERNAL_SERVER_ERROR, "failed: see the log");
             }
             answer(answer);
         }
 
-        private void answer(Router.Answer answer) {
+        private void answer(Answer answer) {
             if (done) {
                 return;
             }
--- a/edge/src/main/java/lemonrail/admin/Router.java
+++ b/edge/src/main/java/lemonrail/admin/Router.java
@@ -18,13 +18,6 @@
     private static final Pattern LOGGER =
         Pattern.compile("/v1/loggers/(lemonrail(?:\\.[a-z0-9]{1,32})?)/(debug|info|warn|error)");
 
-    /** An answer of the door: a status and a text that ends with a line break. */
-    record Answer(HttpResponseStatus status, String text, HttpMethod allowed) {
-        static Answer of(HttpResponseStatus status, String line) {
-            return new Answer(status, line + "\n", null);
-        }
-    }
-
     private record Route(HttpMethod method, Supplier<Answer> call) {
     }
 
--- /dev/null
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -0,0 +1,396 @@
+package lemonrail.control;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import lemonrail.admin.OperatorsDoor;
+import lemonrail.config.ControlConfig;
+import lemonrail.config.ControlConfig.Peer;
+import lemonrail.core.control.ControlState;
+import lemonrail.core.control.ControlState.Bounds;
+import lemonrail.core.control.ControlState.Taken;
+import lemonrail.core.control.InForce;
+import lemonrail.core.control.Item;
+import lemonrail.logging.EventLog;
+import lemonrail.logging.LogSink;
+import lemonrail.net.Sockets;
+import lemonrail.time.Clock;
+
+/**
+ * One control node: what it knows, the watches that it serves and those that it keeps on the other nodes, on
+ * one event loop. It takes changes, passes them on, and goes on by itself where it hears nobody.
+ */
+public final class ControlNode {
+
+    /** How often what is known is kept, if it has changed, and removals are forgotten. */
+    private static final int KEEP_MS = 5_000;
+
+    private final ControlConfig config;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final Clock clock = new Clock();
+    private final EventLog log;
+    private final ControlState state;
+    private final InForce inForce = new InForce();
+    private final Map<String, PeerWatch> peers = new LinkedHashMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private final String boot;
+    private final StateFile file;
+    private final WatchServer server;
+    private final OperatorsDoor door;
+    private boolean unkept;
+    private boolean stopped;
+
+    private ControlNode(ControlConfig config, LogSink sink) {
+        this.config = config;
+        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("control"),
+            NioIoHandler.newFactory());
+        loop = (EventLoop) group.next();
+        log = new EventLog(clock, sink).in("control");
+        long nowMs = nowMs();
+        state = new ControlState(config.name(), Bounds.USUAL, nowMs);
+        boot = config.name() + "-" + Long.toString(nowMs, Character.MAX_RADIX);
+        file = config.kept() == null ? null : new StateFile(config.kept());
+        server = new WatchServer(loop, clock, log, state, inForce, new Told(), boot, config.mostWatchers(),
+            config.answerGapMs());
+        door = new OperatorsDoor(loop, Sockets.BUFFERS, new ControlCalls(this),
+            ControlCalls.MOST_BODY_BYTES, log::bug);
+    }
+
+    /** A node by this configuration, which listens from {@link #open} on. */
+    public static ControlNode create(ControlConfig config, LogSink sink) {
+        return new ControlNode(config, sink);
+    }
+
+    /** Takes in what was kept, opens the listeners, and begins to watch the other nodes. */
+    public void open() throws IOException {
+        try {
+            if (file != null && onLoop(() -> file.read(state, nowMs()))) {
+                log.info("kept_state", "begun from what was kept: " + state.sizes().get(0) + " items");
+            }
+            bound("control.address", config.address(), server.listen(config.address()));
+            if (config.admin() != null) {
+                bound("admin.address", config.admin(), door.listen(config.admin()));
+            }
+        } catch (IOException | RuntimeException e) {
+            stop();
+            throw e;
+        }
+        loop.execute(() -> config.peers().forEach(this::watchNow));
+        loop.scheduleWithFixedDelay(this::keep, KEEP_MS, KEEP_MS, TimeUnit.MILLISECONDS);
+        log.info("serving", "control node " + config.name() + " of region " + config.region() + " serves at "
+            + address() + " with " + config.peers().size() + " other nodes", "address", address());
+    }
+
+    private static void bound(String field, InetSocketAddress at, ChannelFuture bound) throws IOException {
+        if (!bound.awaitUninterruptibly().isSuccess()) {
+            throw new IOException(field + ": cannot listen on " + at + ": " + bound.cause().getMessage());
+        }
+    }
+
+    private <T> T onLoop(Callable<T> task) throws IOException {
+        if (loop.inEventLoop()) {
+            try {
+                return task.call();
+            } catch (IOException | RuntimeException e) {
+                throw e;
+            } catch (Exception e) {
+                throw new IOException(e);
+            }
+        }
+        var done = loop.submit(task).awaitUninterruptibly();
+        if (!done.isSuccess()) {
+            if (done.cause() instanceof RuntimeException e) {
+                throw e;
+            }
+            throw done.cause() instanceof IOException e ? e : new IOException(done.cause());
+        }
+        return done.getNow();
+    }
+
+    private <T> T asked(Callable<T> task) {
+        try {
+            return onLoop(task);
+        } catch (IOException e) {
+            throw new IllegalStateException(e.getMessage(), e);
+        }
+    }
+
+    private long nowMs() {
+        return (long) clock.now();
+    }
+
+    /** Where sidecars and other nodes watch. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** Where operators call. */
+    public InetSocketAddress doorAddress() {
+        return door.address();
+    }
+
+    /** Its name. */
+    public String name() {
+        return config.name();
+    }
+
+    /** This node as another one's peer. */
+    public Peer asPeer() {
+        return new Peer(config.name(), address(), config.region());
+    }
+
+    /** Watches another node from now on. */
+    public void watch(Peer peer) {
+        asked(() -> {
+            watchNow(peer);
+            return null;
+        });
+    }
+
+    private void watchNow(Peer peer) {
+        PeerWatch before = peers.remove(peer.name());
+        if (before != null) {
+            before.stop();
+        }
+        PeerWatch fresh = new PeerWatch(loop, clock, log, config.name(), peer, this::heard);
+        peers.put(peer.name(), fresh);
+        if (!cut.contains(peer.name())) {
+            fresh.start();
+        }
+    }
+
+    /** Whether it may tell what it knows and takes changes. */
+    public boolean isReady() {
+        return asked(state::isReady);
+    }
+
+    /** What it knows is all there is: the first node of a first cluster. */
+    public void begin() {
+        asked(() -> {
+            state.begin();
+            log.info("begun", "begun by an operator's word with " + state.sizes().get(0) + " items");
+            return null;
+        });
+    }
+
+    /** Takes a change, and passes it on; one that is older than what is known changes nothing. */
+    public Taken put(Change change) {
+        return asked(() -> {
+            Taken taken = state.acceptAsOf(nowMs(), change.asOfMs(), change.topic(), change.id(),
+                change.gone(), change.body());
+            if (taken == Taken.NEWS) {
+                changed(Set.of(change.topic()));
+            }
+            return taken;
+        });
+    }
+
+    private void changed(Set<String> topics) {
+        unkept = true;
+        server.changed(topics);
+    }
+
+    private void heard(PeerWatch from, Map<?, ?> answer) {
+        List<Item> items = ItemText.items(answer);
+        ControlState.Batch batch = state.takeAll(nowMs(), items, ItemText.heard(answer), from.peer().name());
+        if (!state.isReady()) {
+            if (!Boolean.TRUE.equals(answer.get("full"))) {
+                throw new IllegalArgumentException("the first answer has not everything");
+            }
+            state.begin();
+            log.info("ready", "ready with " + state.sizes().get(0) + " items from " + from.peer().name());
+        }
+        if (batch.refused() > 0) {
+            log.trouble("items_refused", "items of node " + from.peer().name() + " were refused",
+                batch.refused(), "node", from.peer().name());
+        }
+        if (batch.news() > 0) {
+            changed(batch.topics());
+        }
+    }
+
+    private void keep() {
+        try {
+            state.expire(nowMs());
+            if (file != null && unkept) {
+                file.write(state);
+                unkept = false;
+            }
+        } catch (IOException e) {
+            log.trouble("not_kept", "what is known is not kept", e.getMessage());
+        } catch (RuntimeException e) {
+            log.bug("keeping failed", e);
+        }
+    }
+
+    /** Lets nothing pass between this node and another any more, or again, as tests and trials do. */
+    public void cut(String peer, boolean apart) {
+        asked(() -> {
+            PeerWatch watch = peers.get(peer);
+            if (apart) {
+                cut.add(peer);
+                server.cut(peer);
+            } else {
+                cut.remove(peer);
+            }
+            if (watch != null && apart) {
+                watch.stop();
+            } else if (watch != null) {
+                watch.start();
+            }
+            return null;
+        });
+    }
+
+    /** The last word on an item as JSON or a document, or null where there is none or it is gone. */
+    public String get(String topic, String id) {
+        return asked(() -> {
+            Item item = state.get(topic, id);
+            return item == null || item.gone() ? null : item.body();
+        });
+    }
+
+    Item item(String topic, String id) {
+        return asked(() -> state.get(topic, id));
+    }
+
+    /** The last words on all that is there in a topic. */
+    List<Item> items(String topic) {
+        return asked(() -> state.live(List.of(topic)));
+    }
+
+    /** The digest over all items: nodes that hold the same have the same. */
+    public long digest() {
+        return asked(() -> state.digest(state.topics()));
+    }
+
+    /** Its figures: open connections, waiting calls, answers, their bytes, slow ones closed, texts made. */
+    public List<Long> figures() {
+        return asked(server::figures);
+    }
+
+    /** What operators see, as fields. */
+    public Map<String, Object> status() {
+        return asked(() -> {
+            Map<String, Object> all = new LinkedHashMap<>();
+            all.put("node", config.name());
+            all.put("region", config.region());
+            all.put("ready", state.isReady());
+            all.put("version", state.version(nowMs()));
+            all.put("items", state.sizes().get(0));
+            all.put("removed", state.sizes().get(1));
+            all.put("age_ms", ageMs());
+            all.put("regions", regions());
+            List<Object> others = new ArrayList<>();
+            for (PeerWatch watch : peers.values()) {
+                Map<String, Object> one = new LinkedHashMap<>();
+                one.put("name", watch.peer().name());
+                one.put("region", watch.peer().region());
+                one.put("heard", watch.wasHeard());
+                one.put("age_ms", (long) watch.ageMs());
+                one.put("watching", watch.watching());
+                others.add(one);
+            }
+            all.put("peers", others);
+            all.put("watching", watching());
+            List<Object> documents = new ArrayList<>();
+            state.topics().stream().filter(topic -> topic.startsWith(Item.SETTINGS)).forEach(topic ->
+                state.live(List.of(topic)).forEach(item -> documents.add(Map.of("name", item.id(), "stamp",
+                    item.stamp().text()))));
+            all.put("settings", documents);
+            return all;
+        });
+    }
+
+    /** Of this node's own watchers: how many, and for each document the oldest in force and refusals. */
+    private Map<String, Object> watching() {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("watchers", inForce.watchers(nowMs()));
+        List<Object> documents = new ArrayList<>();
+        for (InForce.Summary summary : inForce.summaries(nowMs())) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("document", summary.document());
+            one.put("watchers", summary.watchers());
+            one.put("oldest", summary.oldest().text());
+            one.put("oldest_at", summary.oldestNames());
+            one.put("refusals", summary.refusals());
+            List<Object> refused = new ArrayList<>();
+            summary.refused().forEach(word -> refused.add(Map.of("name", word.name(), "stamp",
+                word.refused().text(), "why", word.why())));
+            one.put("refused", refused);
+            documents.add(one);
+        }
+        all.put("settings", documents);
+        return all;
+    }
+
+    /** Since any other node was last heard; 0 where there is none. */
+    private long ageMs() {
+        return (long) peers.values().stream().mapToDouble(PeerWatch::ageMs).min().orElse(0);
+    }
+
+    /** For each other region, since any of its nodes was last heard. */
+    private Map<String, Object> regions() {
+        Map<String, Object> ages = new LinkedHashMap<>();
+        for (PeerWatch watch : peers.values()) {
+            String region = watch.peer().region();
+            if (!region.equals(config.region())) {
+                ages.merge(region, (long) watch.ageMs(), (one, other) -> Math.min((long) one, (long) other));
+            }
+        }
+        return ages;
+    }
+
+    /** Ends it, as a kill does; what is known is kept where a file is given. */
+    public void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        asked(() -> {
+            peers.values().forEach(PeerWatch::stop);
+            server.close();
+            keep();
+            return null;
+        });
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** What each answer says of the node. */
+    private final class Told implements WatchServer.Node {
+
+        @Override
+        public Map<String, Object> head(WatchCall call) {
+            Map<String, Object> head = new LinkedHashMap<>();
+            head.put("version", state.version(nowMs()));
+            head.put("node", boot);
+            head.put("age_ms", ageMs());
+            Map<String, Object> ages = regions();
+            if (!ages.isEmpty()) {
+                head.put("regions", ages);
+            }
+            if (call.isOfPeer()) {
+                head.put("watching", watching());
+            }
+            return head;
+        }
+
+        @Override
+        public boolean isCut(String peer) {
+            return cut.contains(peer);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/lemonrail/control/StateFile.java
@@ -0,0 +1,48 @@
+package lemonrail.control;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import lemonrail.core.control.ControlState;
+import lemonrail.core.control.Item;
+import lemonrail.core.control.Stamp;
+import lemonrail.json.Json;
+
+/** What a node knows, kept for its next start, in the form in which nodes tell each other. */
+final class StateFile {
+
+    private final Path file;
+
+    StateFile(Path file) {
+        this.file = file;
+    }
+
+    /** Writes all that is known; a reader finds the old file or the new one. */
+    void write(ControlState state) throws IOException {
+        Map<String, Object> heard = new LinkedHashMap<>();
+        for (Map.Entry<String, Stamp> entry : state.heard().entrySet()) {
+            heard.put(entry.getKey(), entry.getValue().text());
+        }
+        String text = "{\"heard\":" + Json.text(heard) + "," + ItemText.lists(state.everything()) + "}";
+        Path next = file.resolveSibling(file.getFileName() + ".next");
+        Files.write(next, text.getBytes(StandardCharsets.UTF_8));
+        Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Takes in what was kept; false if there is nothing. What can't be read is an exception. */
+    boolean read(ControlState state, long nowMs) throws IOException {
+        if (!Files.exists(file)) {
+            return false;
+        }
+        Map<?, ?> kept = ItemText.object(Files.readAllBytes(file));
+        List<Item> items = ItemText.items(kept);
+        state.takeAll(nowMs, items, ItemText.heard(kept), "");
+        state.begin();
+        return true;
+    }
+}
--- a/edge/src/main/java/lemonrail/discovery/ServerList.java
+++ b/edge/src/main/java/lemonrail/discovery/ServerList.java
@@ -70,11 +70,16 @@
         // Of an endpoint that is gone nothing but its id need be told.
         InetSocketAddress address = state == State.GONE ? null
             : address("servers[].addr", fields.get("addr"));
-        return new Entry(new Server(id, names.zones().indexOf(fields.get("zone")),
-            names.kinds().indexOf(fields.get("kind")), (int) number(fields, "cell", 0),
+        return new Entry(new Server(id, place(names.zones(), fields.get("zone")),
+            place(names.kinds(), fields.get("kind")), (int) number(fields, "cell", 0),
             number(fields, "started_ms", 0), state, number(fields, "weight", 1)), address);
     }
 
+    /** The place of a name, below 0 where it is unknown or not told. */
+    private static int place(List<String> names, Object name) {
+        return name == null ? -1 : names.indexOf(name);
+    }
+
     private static double number(Map<?, ?> fields, String name, double absent) {
         Object value = fields.get(name);
         if (value == null) {
--- a/edge/src/main/java/lemonrail/json/Json.java
+++ b/edge/src/main/java/lemonrail/json/Json.java
@@ -1,9 +1,12 @@
 package lemonrail.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -49,4 +52,42 @@
         return token == JsonToken.VALUE_NULL ? null
                 : token.isBoolean() ? (Object) in.getBooleanValue() : in.getText();
     }
+
+    /** Writes a value as text: maps, lists, whole numbers and others, text, truth values and null. */
+    public static String text(Object value) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = FACTORY.createGenerator(text)) {
+            write(out, value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> field : map.entrySet()) {
+                out.writeFieldName(String.valueOf(field.getKey()));
+                write(out, field.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            out.writeStartArray();
+            for (Object element : list) {
+                write(out, element);
+            }
+            out.writeEndArray();
+        } else if (value instanceof Integer || value instanceof Long) {
+            out.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Number number) {
+            out.writeNumber(number.doubleValue());
+        } else if (value instanceof Boolean truth) {
+            out.writeBoolean(truth);
+        } else if (value == null) {
+            out.writeNull();
+        } else {
+            out.writeString(value.toString());
+        }
+    }
 }
