Control: the sidecar's watch over several nodes, and where a watcher goes next

One address was all there was of discovery. A watcher now has its own order of the nodes (rendezvous hash, its own region first), asks the next one at once where its node fails or has heard no other for 5 s, and comes back to its first one after 30 to 60 s. What it knows goes on from node to node by stamps; only what has changed is passed on. Nodes watch each other by the same link.

--- /dev/null
+++ b/core/src/test/java/lemonrail/core/control/RouteTest.java
@@ -0,0 +1,91 @@
+package lemonrail.core.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** Where a watcher goes, on virtual time. */
+class RouteTest {
+
+    private static final List<String> WEST = List.of("w1", "w2", "w3");
+    private static final List<String> EAST = List.of("e1", "e2", "e3");
+
+    private static Route route(int number) {
+        return new Route("sidecar-" + number, WEST, EAST, number);
+    }
+
+    @Test
+    void theNextNodeIsAskedAtOnceAndTheOwnRegionFirst() {
+        Route route = route(1);
+        List<String> asked = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            asked.add(route.current());
+            assertEquals(0, route.failed(i));
+        }
+        asked.add(route.current());
+        assertEquals(Set.copyOf(WEST), Set.copyOf(asked.subList(0, 3)));
+        assertEquals(Set.copyOf(EAST), Set.copyOf(asked.subList(3, 6)));
+        double pause = route.failed(6);
+        assertTrue(pause >= 50 && pause <= 150, "all have failed: " + pause);
+        assertEquals(asked.get(0), route.current());
+    }
+
+    @Test
+    void pausesGrowAndAreBounded() {
+        Route route = route(1);
+        double longest = 0;
+        for (int i = 0; i < 200; i++) {
+            longest = Math.max(longest, route.failed(i));
+        }
+        assertTrue(longest > 500 && longest <= 1500, "longest " + longest);
+        route.answered(300, 0);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(0, route.failed(301));
+        }
+        assertTrue(route.failed(301) <= 150);
+    }
+
+    /** Guards against a node that is back and gets all its watchers at one instant. */
+    @Test
+    void watchersComeBackSpreadOverTime() {
+        List<Double> back = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            Route route = route(i);
+            String home = route.current();
+            route.failed(0);
+            assertNotEquals(home, route.current());
+            double now = 0;
+            while (!route.answered(now, 0)) {
+                now += 100;
+            }
+            assertEquals(home, route.current());
+            back.add(now);
+        }
+        assertTrue(back.stream().allMatch(at -> at >= 30_000 && at <= 60_100));
+        var perSecond = back.stream().collect(Collectors.groupingBy(at -> (int) (at / 1000),
+            Collectors.counting()));
+        assertTrue(perSecond.values().stream().allMatch(count -> count <= 30), perSecond.toString());
+    }
+
+    @Test
+    void aNodeThatHearsNothingNewIsLeftForAnother() {
+        Route route = route(1);
+        String home = route.current();
+        assertFalse(route.answered(0, Route.STALE_MS));
+        assertTrue(route.answered(1000, Route.STALE_MS + 1));
+        assertNotEquals(home, route.current());
+        assertFalse(route.answered(2000, Route.STALE_MS + 1), "where all are so it stays for a while");
+        boolean moved = false;
+        for (double now = 2000; now < 50_000 && !moved; now += 1000) {
+            moved = route.answered(now, Route.STALE_MS + 1);
+        }
+        assertTrue(moved);
+    }
+}
--- a/edge/src/main/java/lemonrail/control/PeerWatch.java
+++ b/edge/src/main/java/lemonrail/control/PeerWatch.java
@@ -1,32 +1,13 @@
 package lemonrail.control;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import lemonrail.config.ControlConfig.Peer;
+import lemonrail.discovery.WatchLink;
 import lemonrail.logging.EventLog;
-import lemonrail.net.Sockets;
 import lemonrail.time.Clock;
 
 /** Watches another node, call after call, by the platform's protocol. */
@@ -53,9 +34,8 @@
     private final String own;
     private final Peer peer;
     private final Listener listener;
-    private final Bootstrap bootstrap;
-    private Channel channel;
-    private Future<?> timer;
+    private final WatchLink link;
+    private Future<?> retry;
     private boolean stopped = true;
     private String boot = "";
     private long version = -1;
@@ -72,17 +52,17 @@
         this.peer = peer;
         this.listener = listener;
         heardAt = clock.now();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<SocketChannel>() {
-                @Override
-                protected void initChannel(SocketChannel fresh) {
-                    fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
-                        new Answered());
-                }
-            });
+        link = new WatchLink(loop, CONNECT_MS, MOST_BODY, new WatchLink.Listener() {
+            @Override
+            public void answered(int status, byte[] body) {
+                take(status, body);
+            }
+
+            @Override
+            public void failed(Object why) {
+                fail(why);
+            }
+        });
     }
 
     Peer peer() {
@@ -105,66 +85,47 @@
     void start() {
         if (stopped) {
             stopped = false;
-            connect();
+            ask();
         }
     }
 
     void stop() {
         stopped = true;
-        cancel();
-        drop();
-    }
-
-    private void connect() {
-        ChannelFuture connecting = bootstrap.connect(peer.address());
-        channel = connecting.channel();
-        connecting.addListener(connected -> {
-            if (connecting.channel() != channel) {
-                connecting.channel().close();
-            } else if (connected.isSuccess()) {
-                ask();
-            } else {
-                fail(connected.cause());
-            }
-        });
+        if (retry != null) {
+            retry.cancel(false);
+            retry = null;
+        }
+        link.end();
     }
 
     private void ask() {
-        cancel();
-        timer = loop.schedule(() -> fail("no answer in time"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
-        FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-            "/registry/instances?peer=" + own + (version < 0 ? "" : "&index=" + version + "&wait=" + WAIT_MS
-                + "&from=" + boot), Unpooled.EMPTY_BUFFER);
-        call.headers().set(HttpHeaderNames.HOST, peer.name());
-        channel.writeAndFlush(call);
+        link.call(peer.address(), "/registry/instances?peer=" + own + (version < 0 ? "" : "&index=" + version
+            + "&wait=" + WAIT_MS + "&from=" + boot), WAIT_MS + SILENCE_MS);
     }
 
     private void fail(Object why) {
-        cancel();
-        drop();
-        if (stopped) {
-            return;
-        }
+        link.end();
         log.trouble("peer_failed", "node " + peer.name() + " is not heard", why, "node", peer.name());
-        timer = loop.schedule(() -> {
-            timer = null;
-            connect();
+        retry = loop.schedule(() -> {
+            retry = null;
+            ask();
         }, ThreadLocalRandom.current().nextLong(LEAST_PAUSE_MS, MOST_PAUSE_MS), TimeUnit.MILLISECONDS);
     }
 
-    private void cancel() {
-        if (timer != null) {
-            timer.cancel(false);
-            timer = null;
+    private void take(int status, byte[] body) {
+        if (status != 200) {
+            fail("status " + status);
+            return;
         }
-    }
-
-    private void drop() {
-        if (channel != null) {
-            Channel dropped = channel;
-            channel = null;
-            dropped.close();
+        try {
+            take(ItemText.object(body));
+        } catch (IllegalArgumentException e) {
+            // What was skipped must come again: the next call asks for everything.
+            version = -1;
+            fail(e.getMessage());
+            return;
         }
+        ask();
     }
 
     private void take(Map<?, ?> answer) {
@@ -178,43 +139,4 @@
         everHeard = true;
         watching = answer.get("watching");
     }
-
-    private final class Answered extends SimpleChannelInboundHandler<FullHttpResponse> {
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-            if (ctx.channel() != channel) {
-                ctx.close();
-                return;
-            }
-            if (answer.decoderResult().isFailure() || answer.status().code() != 200) {
-                fail("status " + answer.status().code());
-                return;
-            }
-            try {
-                take(ItemText.object(ByteBufUtil.getBytes(answer.content())));
-            } catch (IllegalArgumentException e) {
-                // What was skipped must come again: the next call asks for everything.
-                version = -1;
-                fail(e.getMessage());
-                return;
-            }
-            ask();
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == channel) {
-                fail("the connection ended");
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (ctx.channel() == channel) {
-                fail(cause);
-            }
-            ctx.close();
-        }
-    }
 }
--- /dev/null
+++ b/edge/src/main/java/lemonrail/discovery/ControlClient.java
@@ -0,0 +1,278 @@
+package lemonrail.discovery;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import lemonrail.core.control.Item;
+import lemonrail.core.control.Replica;
+import lemonrail.core.control.Replica.Key;
+import lemonrail.core.control.Route;
+import lemonrail.core.control.Stamp;
+import lemonrail.json.Json;
+import lemonrail.logging.EventLog;
+import lemonrail.time.Clock;
+
+/**
+ * Watches at one of several control nodes, by the platform's protocol with their further parameters. What
+ * is known goes on from node to node; only what has changed is passed on.
+ */
+public final class ControlClient {
+
+    /** How long a call waits for news unless the configuration says so, and how much more is silence. */
+    private static final int USUAL_WAIT_MS = 2_000;
+    private static final int SILENCE_MS = 1_000;
+    private static final int MOST_BODY = 16 * 1024 * 1024;
+    private static final int MOST_WHY = 200;
+
+    /**
+     * What is watched, and where.
+     *
+     * @param name the watcher's, as the operators see it
+     * @param addresses the control nodes of its region
+     * @param fallbacks those of others, asked once none of the former answers
+     * @param services whose endpoints are wanted; all where there are none
+     * @param document the settings document that it follows, or null
+     * @param waitMs how long a call waits for news, or null for the usual time
+     */
+    public record Plan(String name, List<InetSocketAddress> addresses, List<InetSocketAddress> fallbacks,
+            List<String> services, String document, Double waitMs) {
+    }
+
+    /** What comes of the settings document. */
+    public interface Settings {
+        /** Takes a document, or null for none any more, as a whole or not at all; null, or why not. */
+        String told(String text);
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Plan plan;
+    private final ServerList.Names names;
+    private final EventLog log;
+    private final Route route;
+    private final Map<String, InetSocketAddress> places = new LinkedHashMap<>();
+    private final WatchLink link;
+    private final Replica replica = new Replica();
+    private DiscoveryClient.Listener listener;
+    private Settings settings = text -> "this edge takes no settings while it runs";
+    private long version = -1;
+    private String from = "";
+    private Stamp inForce = Stamp.NONE;
+    private Stamp refused;
+    private String why = "";
+    private boolean heard;
+    private Future<?> retry;
+
+    /** A client by this plan, which watches from the first {@link #watch} on. */
+    public ControlClient(EventLoop loop, Clock clock, Plan plan, ServerList.Names names, long seed,
+            EventLog log) {
+        this.loop = loop;
+        this.clock = clock;
+        this.plan = plan;
+        this.names = names;
+        this.log = log.in("discovery");
+        route = new Route(plan.name(), texts(plan.addresses()), texts(plan.fallbacks()), seed);
+        link = new WatchLink(loop, SILENCE_MS, MOST_BODY, new WatchLink.Listener() {
+            @Override
+            public void answered(int status, byte[] body) {
+                take(status, body);
+            }
+
+            @Override
+            public void failed(Object reason) {
+                fail(reason);
+            }
+        });
+    }
+
+    private List<String> texts(List<InetSocketAddress> addresses) {
+        List<String> texts = new ArrayList<>();
+        for (InetSocketAddress address : addresses) {
+            String text = address.getAddress().getHostAddress() + ":" + address.getPort();
+            places.put(text, address);
+            texts.add(text);
+        }
+        return texts;
+    }
+
+    /** Who hears of lists. */
+    public void listen(DiscoveryClient.Listener hearer) {
+        listener = hearer;
+    }
+
+    /** Who takes settings. */
+    public void takeSettings(Settings taker) {
+        settings = taker;
+    }
+
+    /** Starts the watch; one that is on goes on. */
+    public void watch() {
+        if (!link.isCalling() && retry == null) {
+            ask();
+        }
+    }
+
+    /** How many items are held. */
+    public int known() {
+        return replica.size();
+    }
+
+    private void ask() {
+        int waitMs = version < 0 ? 0 : plan.waitMs() == null ? USUAL_WAIT_MS : plan.waitMs().intValue();
+        StringBuilder uri = new StringBuilder("/registry/instances?name=").append(encoded(plan.name()))
+            .append("&digest=").append(Long.toHexString(replica.digest()));
+        if (!plan.services().isEmpty()) {
+            uri.append("&service=").append(String.join(",", plan.services()));
+        }
+        if (version >= 0) {
+            uri.append("&index=").append(version).append("&wait=").append(waitMs).append("&from=")
+                .append(encoded(from));
+        }
+        if (plan.document() != null) {
+            uri.append("&settings=").append(plan.document());
+            if (!inForce.equals(Stamp.NONE)) {
+                uri.append("&inforce=").append(encoded(inForce.text()));
+            }
+            if (refused != null) {
+                uri.append("&refused=").append(encoded(refused.text())).append("&why=").append(encoded(why));
+            }
+        }
+        link.call(places.get(route.current()), uri.toString(), waitMs + SILENCE_MS);
+    }
+
+    private static String encoded(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    private void fail(Object reason) {
+        link.end();
+        log.trouble("discovery_failed", "discovery failed", reason, "address", route.current());
+        double pauseMs = route.failed(clock.now());
+        retry = loop.schedule(() -> {
+            retry = null;
+            ask();
+        }, (long) (pauseMs * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private void take(int status, byte[] body) {
+        if (status != 200) {
+            fail("status " + status);
+            return;
+        }
+        ServerList news;
+        double ageMs;
+        try {
+            if (!(Json.value(body) instanceof Map<?, ?> answer)) {
+                throw new IOException("the list of endpoints is no object");
+            }
+            news = read(answer);
+            ageMs = answer.get("age_ms") instanceof Double age ? age : 0;
+        } catch (IOException | IllegalArgumentException e) {
+            fail(e.getMessage());
+            return;
+        }
+        if (route.answered(clock.now(), ageMs)) {
+            log.info("control_node", "watching at " + route.current() + " from now on", "address",
+                route.current());
+        }
+        // The next call goes out first: it must come soon after the answer for the watch to go on.
+        ask();
+        if (news.full() || !news.entries().isEmpty()) {
+            listener.listed(news);
+        }
+    }
+
+    /** Takes an answer in: what is news in it, as a whole list the first time and as changes from then on. */
+    private ServerList read(Map<?, ?> answer) throws IOException {
+        ServerList list = ServerList.of(answer, names);
+        if (!(answer.get("node") instanceof String node)) {
+            throw new IOException("it is no control node");
+        }
+        List<Key> keys = new ArrayList<>();
+        List<Stamp> stamps = new ArrayList<>();
+        for (Object line : (List<?>) answer.get("servers")) {
+            Map<?, ?> fields = (Map<?, ?>) line;
+            keys.add(new Key(text(fields, "service"), text(fields, "id")));
+            stamps.add(Stamp.parse(text(fields, "stamp")));
+        }
+        Map<String, Stamp> upTo = new LinkedHashMap<>();
+        if (answer.get("heard") instanceof Map<?, ?> told) {
+            told.forEach((origin, stamp) ->
+                upTo.put(String.valueOf(origin), Stamp.parse(String.valueOf(stamp))));
+        }
+        // All that could be amiss has been read: from here on the answer is taken in as a whole.
+        List<ServerList.Entry> news = new ArrayList<>();
+        for (int i = 0; i < keys.size(); i++) {
+            ServerList.Entry entry = list.entries().get(i);
+            if (replica.take(keys.get(i), stamps.get(i), entry.server().state() == State.GONE)) {
+                news.add(entry);
+            }
+        }
+        settings(answer, keys);
+        if (list.full()) {
+            for (Key gone : replica.keepOnly(keys, upTo)) {
+                if (gone.topic().startsWith(Item.SETTINGS)) {
+                    settle(null, Stamp.NONE);
+                } else {
+                    news.add(new ServerList.Entry(new Server(gone.id(), -1, -1, 0, 0, State.GONE, 1), null));
+                }
+            }
+        }
+        boolean first = !heard;
+        heard = true;
+        from = node;
+        version = list.version();
+        return new ServerList(version, first, news);
+    }
+
+    private static String text(Map<?, ?> fields, String name) throws IOException {
+        if (fields.get(name) instanceof String text) {
+            return text;
+        }
+        throw new IOException("field servers[]." + name + " is missing");
+    }
+
+    private void settings(Map<?, ?> answer, List<Key> keys) {
+        if (!(answer.get("settings") instanceof List<?> documents)) {
+            return;
+        }
+        for (Object each : documents) {
+            if (each instanceof Map<?, ?> line && plan.document() != null
+                    && plan.document().equals(line.get("name"))) {
+                Key key = new Key(Item.SETTINGS + plan.document(), plan.document());
+                Stamp stamp = Stamp.parse(String.valueOf(line.get("stamp")));
+                boolean gone = Boolean.TRUE.equals(line.get("gone"));
+                if (replica.take(key, stamp, gone)) {
+                    settle(gone ? null : String.valueOf(line.get("text")), stamp);
+                }
+                keys.add(key);
+            }
+        }
+    }
+
+    private void settle(String text, Stamp stamp) {
+        String problem = settings.told(text);
+        if (problem == null) {
+            inForce = text == null ? Stamp.NONE : stamp;
+            refused = null;
+            why = "";
+            log.info("settings_taken", "settings " + plan.document() + " are in force: " + stamp.text(),
+                "document", plan.document(), "stamp", stamp.text());
+        } else {
+            refused = stamp;
+            why = problem.substring(0, Math.min(MOST_WHY, problem.length()));
+            log.warn("settings_refused", "settings " + plan.document() + " stay as they were: " + problem,
+                "document", plan.document(), "stamp", stamp.text());
+        }
+    }
+}
