Control: configuration, command, live settings, and the edge's side with its tests

lemonrail control runs a node by a file with [control]; check and config know it; an edge names its nodes in discovery.addresses, its services and the settings document that it follows. A document changes aims, deadlines, worths, late worths, rates, attempts and retry-after while edges run, whole or not at all; all else is refused with its place, the last good one stays, and the door names who has refused what and why. What was learned stays (LiveSettingsTest: the same calls with and without 200 changes to the same settings). The decider swaps its settings in one method.

--- a/core/src/main/java/lemonrail/core/AnswerTimes.java
+++ b/core/src/main/java/lemonrail/core/AnswerTimes.java
@@ -14,7 +14,7 @@
     private static final int BASE_SAMPLES = 16;
     private static final double BASE_RISE = 1.02;
 
-    private final double mostMs;
+    private double mostMs;
     private double typicalMs;
     private double tailMs;
     /** The lowest of recent averages. */
@@ -29,6 +29,11 @@
         tailMs = kind.aimMs();
     }
 
+    /** The class's deadline from now on; what was learned stays. */
+    public void deadline(double deadlineMs) {
+        mostMs = deadlineMs;
+    }
+
     /** An answer has taken so long, or has not come within that time. */
     public void waited(double tookMs) {
         double step = tookMs > tailMs ? TAIL_GAIN * (1 - TAIL_SHARE) : -TAIL_GAIN * TAIL_SHARE;
--- a/core/src/main/java/lemonrail/core/Contract.java
+++ b/core/src/main/java/lemonrail/core/Contract.java
@@ -220,6 +220,18 @@
         /** A timer set by {@link Actions#timer} has come due. */
         void onTimer(double now, long name);
 
+        /** Whether {@link #onSettings} leads to anything. */
+        default boolean takesSettings() {
+            return false;
+        }
+
+        /**
+         * Settings that differ from those before in these at most: aims, deadlines and worths of the classes,
+         * allowances of the tenants, tries and the cool-down. What was learned stays.
+         */
+        default void onSettings(double now, Settings settings) {
+        }
+
         /** How many servers that discovery calls ready are left out for what they did; it changes nothing. */
         default int avoided(double now) {
             return 0;
--- a/core/src/main/java/lemonrail/core/TokenBucket.java
+++ b/core/src/main/java/lemonrail/core/TokenBucket.java
@@ -3,8 +3,8 @@
 /** A rate with savings: tokens come evenly up to a bound, and each use takes one. It starts full. */
 public final class TokenBucket {
 
-    private final double perMs;
-    private final double most;
+    private double perMs;
+    private double most;
     private double tokens;
     private double toppedUp;
 
@@ -14,6 +14,12 @@
         this.most = most;
     }
 
+    /** Gains so many tokens a millisecond and holds so many at most from now on; what is saved stays. */
+    public void rate(double gainPerMs, double mostHeld) {
+        perMs = gainPerMs;
+        most = mostHeld;
+    }
+
     /** Takes a token, if there is one at this time in milliseconds. */
     public boolean take(double now) {
         tokens = toppedUp == 0 ? most : Math.min(most, tokens + perMs * (now - toppedUp));
--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -24,7 +24,7 @@
     /** Name of the timer for the next request for the list. */
     private static final long ASK_TIMER = 1;
 
-    private final Settings settings;
+    private Settings settings;
     private final Actions host;
     private final SplittableRandom random;
     private final Map<String, Target> targets = new LinkedHashMap<>();
@@ -62,6 +62,21 @@
         }
     }
 
+    @Override
+    public boolean takesSettings() {
+        return true;
+    }
+
+    @Override
+    public void onSettings(double now, Settings changed) {
+        settings = changed;
+        limit.adopt(changed);
+        retries.settings = changed;
+        for (int i = 0; i < learned.length; i++) {
+            learned[i].deadline(changed.classes().get(i).deadlineMs());
+        }
+    }
+
     /** How many requests are in hand: not answered yet, or answered with an attempt still out. */
     public int openCalls() {
         return calls.size();
--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -30,11 +30,11 @@
     /** While answers are slow, no server may hold more than this multiple of what the limit stands for. */
     private static final double CASCADE = 2;
 
-    private final Settings settings;
+    private Settings settings;
     private final Ranks ranks;
     private final Health health;
     private final Locality locality;
-    private final double mostWorth;
+    private double mostWorth;
     int inFlight;
     double peak;
     /** When an attempt last ended, and how long it took. */
@@ -59,12 +59,20 @@
         this.ranks = ranks;
         this.health = health;
         this.locality = locality;
+        allowances = settings.tenants().stream().map(tenant -> new TokenBucket(0, 0))
+            .toArray(TokenBucket[]::new);
+        adopt(settings);
+    }
+
+    /** Goes by the worths and allowances of these settings from now on. */
+    void adopt(Settings changed) {
+        settings = changed;
         double worth = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
         mostWorth = worth > 0 ? worth : 1;
-        allowances = settings.tenants().stream().map(tenant -> {
-            double perMs = tenant.allowancePerSecond() / settings.balancers() / 1000;
-            return new TokenBucket(perMs, 1 + ALLOWANCE_SAVINGS_S * 1000 * perMs);
-        }).toArray(TokenBucket[]::new);
+        for (int i = 0; i < allowances.length; i++) {
+            double perMs = settings.tenants().get(i).allowancePerSecond() / settings.balancers() / 1000;
+            allowances[i].rate(perMs, 1 + ALLOWANCE_SAVINGS_S * 1000 * perMs);
+        }
     }
 
     /** Takes in what the ready servers can surely do together, in warm ones. */
--- a/core/src/main/java/lemonrail/core/policy/Retries.java
+++ b/core/src/main/java/lemonrail/core/policy/Retries.java
@@ -13,7 +13,7 @@
     /** The part of its window in which a keyed call may be repeated. */
     private static final double WINDOW_SHARE = 0.9;
 
-    private final Settings settings;
+    Settings settings;
     private double left = SAVINGS;
 
     Retries(Settings settings) {
--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -24,9 +24,12 @@
 import lemonrail.config.EdgeConfig;
 import lemonrail.config.Loaded;
 import lemonrail.config.PlatformFile;
+import lemonrail.config.SettingsDocument;
+import lemonrail.core.Contract.Settings;
 import lemonrail.core.Decider;
 import lemonrail.core.WatchPace;
 import lemonrail.core.policy.Decide;
+import lemonrail.discovery.ControlClient;
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Front;
@@ -90,6 +93,9 @@
     private OperatorsDoor door;
     private Listeners listeners;
     private DiscoveryClient discovery;
+    private ControlClient control;
+    /** What may change of the settings while it runs is in these. */
+    private volatile Settings inForce;
     private Upstream<?, ?> endpoints;
     private final List<InetSocketAddress> addresses = new CopyOnWriteArrayList<>();
     private int ownFiles;
@@ -106,6 +112,7 @@
         this.source = source;
         values = loaded.values();
         config = loaded.config();
+        inForce = config.settings();
         this.sink = sink;
         metrics = new Metrics(config.classNames());
         group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"),
@@ -191,10 +198,16 @@
         discovery = config.discovery() == null ? null
             : new DiscoveryClient(loop, config.discovery(), config.names(), config.known().version(),
                 pace(), log);
+        control = config.control() == null ? null
+            : new ControlClient(loop, clock, config.control(), config.names(), config.seed(), log);
         connect(protocol, half);
         if (discovery != null) {
             discovery.listen(exchange);
         }
+        if (control != null) {
+            control.listen(exchange);
+            control.takeSettings(this::takeSettings);
+        }
         door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
         metrics.gauge("log_dropped", sink::dropped);
         metrics.gauge("log_suppressed", log::suppressed);
@@ -213,7 +226,8 @@
     private <M extends Message, A> void connect(Protocol<M, A> spoken, int half) {
         Upstream<M, A> upstream = spoken.upstream(shard, half);
         Exchange<M, A> between = new Exchange<>(shard, upstream, suspensions, decider, config.seed(),
-            config.known(), discovery == null ? () -> { } : discovery::watch);
+            config.known(), control != null ? control::watch
+                : discovery == null ? () -> { } : discovery::watch);
         endpoints = upstream;
         exchange = between;
         listeners = new Listeners(most -> {
@@ -225,6 +239,20 @@
         }, clients(half));
     }
 
+    /** Takes the control nodes' settings document up, or goes back to the file's own; null, or why not. */
+    private String takeSettings(String text) {
+        try {
+            Settings next = text == null ? config.settings() : SettingsDocument.over(config.settings(), text);
+            if (!exchange.settings(next)) {
+                return "the decider of this edge takes no settings while it runs";
+            }
+            inForce = next;
+            return null;
+        } catch (IllegalArgumentException e) {
+            return e.getMessage();
+        }
+    }
+
     private boolean knowsEndpoints() {
         return exchange != null && exchange.knowsEndpoints();
     }
@@ -325,7 +353,7 @@
         } else {
             log.info("config_reloaded", "configuration read again");
         }
-        if (discovery == null) {
+        if (discovery == null && control == null) {
             exchange.listed(now.known());
         }
         now.logging().levels().forEach(sink::level);
@@ -386,7 +414,7 @@
      */
     public void terminate() {
         CountDownLatch empty = new CountDownLatch(1);
-        long mostDeadlineMs = config.settings().classes().stream()
+        long mostDeadlineMs = inForce.classes().stream()
             .mapToLong(kind -> (long) kind.deadlineMs()).max().orElse(0);
         long killedAfterMs = Math.min(mostDeadlineMs, MOST_WAIT_MS) + KILL_SLACK_MS;
         long endMs = killedAfterMs - DRAIN_SLACK_MS;
--- a/edge/src/main/java/lemonrail/cli/CommandLineCalls.java
+++ b/edge/src/main/java/lemonrail/cli/CommandLineCalls.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Callable;
 import lemonrail.config.ConfigException;
 import lemonrail.config.ConfigSource;
+import lemonrail.config.ControlFile;
 import lemonrail.config.Loaded;
 import lemonrail.config.Problem;
 import lemonrail.config.SchemaText;
@@ -26,7 +27,8 @@
     versionProvider = CommandLineCalls.Version.class,
     exitCodeListHeading = "Exit status:%n",
     exitCodeList = {"0:all is well", "1:it has failed", "2:the call or the configuration is no good"},
-    subcommands = {CommandLineCalls.Serve.class, CommandLineCalls.Check.class, CommandLineCalls.Config.class,
+    subcommands = {CommandLineCalls.Serve.class, CommandLineCalls.Control.class,
+        CommandLineCalls.Check.class, CommandLineCalls.Config.class,
         CommandLineCalls.BenchLinkCall.class, CommandLineCalls.VersionCall.class,
         AutoComplete.GenerateCompletion.class})
 final class CommandLineCalls implements Callable<Integer> {
@@ -96,6 +98,19 @@
         }
     }
 
+    /** One control node. */
+    @Command(name = "control",
+        description = "Run a control node until SIGTERM: a file with a table [control].")
+    static final class Control implements Callable<Integer> {
+        @CommandLine.Mixin
+        private ConfigOption config;
+
+        @Override
+        public Integer call() {
+            return new Controlling(config.file(), System.getenv(), System.err).start();
+        }
+    }
+
     /** Validates files. */
     @Command(name = "check", description = {"Validate configurations and say what they would do.",
         "Everything that is wrong is a line with file, line, key, value and what is allowed."})
@@ -113,9 +128,9 @@
             List<Problem> problems = new ArrayList<>();
             for (Path file : files) {
                 try {
-                    Loaded loaded = ConfigSource.of(file, System.getenv()).load();
+                    List<String> lines = lines(file);
                     if (!quiet) {
-                        Outline.lines(file, loaded.config()).forEach(out::println);
+                        lines.forEach(out::println);
                     }
                 } catch (ConfigException e) {
                     problems.addAll(e.problems());
@@ -124,6 +139,12 @@
             problems.forEach(spec.commandLine().getErr()::println);
             return problems.isEmpty() ? Main.OK : Main.BAD_INPUT;
         }
+
+        private static List<String> lines(Path file) throws IOException {
+            return ControlFile.isOne(file, System.getenv())
+                ? Outline.lines(file, new ControlFile(file, System.getenv()).load().config())
+                : Outline.lines(file, ConfigSource.of(file, System.getenv()).load().config());
+        }
     }
 
     /** Tells of configurations. */
@@ -153,7 +174,9 @@
 
         @Override
         public Integer call() throws IOException {
-            for (Loaded.Value value : ConfigSource.of(config.file(), System.getenv()).load().values()) {
+            for (Loaded.Value value : ControlFile.isOne(config.file(), System.getenv())
+                    ? new ControlFile(config.file(), System.getenv()).load().values()
+                    : ConfigSource.of(config.file(), System.getenv()).load().values()) {
                 if (effective || !value.origin().equals("default")) {
                     spec.commandLine().getOut().println(value.key() + " = " + value.text() + "  # "
                         + value.origin() + (value.live() ? "" : ", needs a restart"));
--- a/edge/src/main/java/lemonrail/cli/Outline.java
+++ b/edge/src/main/java/lemonrail/cli/Outline.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
+import lemonrail.config.ControlConfig;
 import lemonrail.config.EdgeConfig;
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.State;
@@ -22,7 +23,11 @@
             : ", operators call " + plain(config.admin())));
         long ready = config.known().servers().stream()
             .filter(server -> server.state() == State.READY).count();
-        lines.add("  it would send to " + (config.discovery() == null
+        lines.add("  it would send to " + (config.control() != null ? "what "
+            + config.control().addresses().size() + " control nodes and "
+            + config.control().fallbacks().size() + " fallbacks list of "
+            + (config.control().services().isEmpty() ? "all services" : config.control().services())
+            : config.discovery() == null
             ? ready + " of " + config.known().servers().size() + " fixed endpoints"
             : "what discovery at " + plain(config.discovery()) + " lists, and start from "
                 + config.known().servers().size() + " known endpoints"));
@@ -47,4 +52,17 @@
     private static String time(double ms) {
         return ms >= 1000 ? ms / 1000 + "s" : ms + "ms";
     }
+
+    /** What a control node would do. */
+    static List<String> lines(Path file, ControlConfig config) {
+        return List.of(file + ": good",
+            "  control node " + config.name() + " of region " + config.region() + " would serve "
+                + config.mostWatchers() + " watchers at " + plain(config.address())
+                + (config.admin() == null ? ", without an operators' door"
+                    : ", operators call " + plain(config.admin())),
+            "  it would watch " + config.peers().size() + " other nodes: "
+                + config.peers().stream().map(peer -> peer.name() + " (" + peer.region() + ") at "
+                    + plain(peer.address())).collect(Collectors.joining(", ")),
+            "  what it knows is kept at " + config.kept());
+    }
 }
--- a/edge/src/main/java/lemonrail/config/EdgeConfig.java
+++ b/edge/src/main/java/lemonrail/config/EdgeConfig.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.Settings;
+import lemonrail.discovery.ControlClient;
 import lemonrail.discovery.ServerList;
 import lemonrail.logging.LogSettings;
 
@@ -23,11 +24,12 @@
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  * @param names of zones and kinds, whose places stand for them
  * @param known the list of endpoints: the fixed one, or as it was last known
+ * @param control the control nodes to watch at in place of discovery, or null
  */
 public record EdgeConfig(String name, List<InetSocketAddress> listeners, InetSocketAddress admin,
         InetSocketAddress discovery, Double discoveryWaitMs, Path folder, long seed, double memoryMb,
         int sockets, double idleCloseMs, ServerList.Names names, ServerList known, Settings settings,
-        LogSettings logging) {
+        LogSettings logging, ControlClient.Plan control) {
 
     /** A file of this edge's own, which its next process finds as well. */
     public Path kept(String what) {
--- a/edge/src/main/java/lemonrail/config/PlatformFile.java
+++ b/edge/src/main/java/lemonrail/config/PlatformFile.java
@@ -68,7 +68,7 @@
             (int) positive("limits.sockets", limit(config, "sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
             ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings),
-            LogSettings.USUAL);
+            LogSettings.USUAL, null);
     }
 
     private static Object limit(Map<?, ?> config, String name) {
--- a/edge/src/main/java/lemonrail/config/Schema.java
+++ b/edge/src/main/java/lemonrail/config/Schema.java
@@ -40,6 +40,15 @@
         ValueType.duration(100, WatchPace.LONGEST_WAIT_MS), null, "how long a call waits for news; if not "
             + "given 1s, or 10ms for each balancer, up to 3s. With more, silent watches hide news over 6s");
 
+    static final Key<List<InetSocketAddress>> NODES = Key.optional("addresses", ValueType.addresses(32), null,
+        "the control nodes of the own region, in place of address: see docs/operate/control.md");
+    static final Key<List<InetSocketAddress>> FALLBACKS = Key.optional("fallback-addresses",
+        ValueType.addresses(32), null, "those of other regions, for when none of addresses answers");
+    static final Key<List<String>> SERVICES = Key.optional("services", ValueType.words(64), null,
+        "whose endpoints are wanted of the control nodes; all if not given");
+    static final Key<String> DOCUMENT = Key.optional("settings", ValueType.word(), null,
+        "the settings document of the control nodes that this edge follows; none if not given");
+
     static final Key<String> ENDPOINT_ID = Key.required("id", ValueType.word(), "its name").changeable();
     static final Key<InetSocketAddress> ENDPOINT = Key.required("address", ValueType.address(1),
         "where it listens").changeable();
@@ -130,12 +139,26 @@
     static final Key<Integer> WAITING = Key.optional("queue", ValueType.whole(16, 65_536), "1024",
         "events that wait for a slow reader; more are dropped and counted");
 
+    static final Key<InetSocketAddress> CONTROL_ADDRESS = Key.required("address", ValueType.address(0),
+        "where sidecars and other control nodes watch");
+    static final Key<String> REGION = Key.optional("region", ValueType.word(), "\"default\"",
+        "the region that the node is in");
+    static final Key<Integer> WATCHERS = Key.optional("watchers", ValueType.whole(1, 65_536), "4096",
+        "sidecars that may watch at once");
+    static final Key<Double> ANSWER_GAP = Key.optional("answer-gap", ValueType.duration(1, MINUTE_MS),
+        "\"150ms\"", "while changes pour one watcher gets at most one answer in this time");
+    static final Key<String> PEER_NAME = Key.required("name", ValueType.word(), "its name");
+    static final Key<InetSocketAddress> PEER_ADDRESS = Key.required("address", ValueType.address(1),
+        "its control.address");
+    static final Key<String> PEER_REGION = Key.optional("region", ValueType.word(), "\"default\"",
+        "its control.region");
+
     static final Table ROOT = new Table("", 0, "the edge itself", List.of(NAME, STATE_DIR, SEED));
     static final Table LISTENERS = new Table("listeners", 8, "where clients connect; at least one",
         List.of(LISTENER, PROTOCOL));
     static final Table DOOR = new Table("admin", 0, "the operators' door", List.of(ADMIN));
     static final Table LIST = new Table("discovery", 0, "a list of endpoints that is watched",
-        List.of(DISCOVERY, DISCOVERY_WAIT));
+        List.of(DISCOVERY, DISCOVERY_WAIT, NODES, FALLBACKS, SERVICES, DOCUMENT));
     static final Table ENDPOINTS = new Table("endpoints", 1024,
         "a fixed list, or the one to start from where there is discovery", List.of(ENDPOINT_ID, ENDPOINT,
             ENDPOINT_ZONE, ENDPOINT_RACK, ENDPOINT_WEIGHT, ENDPOINT_STATE));
@@ -155,8 +178,33 @@
     static final Table LOGGING = new Table("logging", 0, "the log, on standard error",
         List.of(FORMAT, LEVEL, LEVELS, WAITING));
 
+    static final Table CONTROL = new Table("control", 0,
+        "a control node, in a file of its own: lemonrail control --config FILE",
+        List.of(CONTROL_ADDRESS, REGION, WATCHERS, ANSWER_GAP));
+    static final Table PEERS = new Table("peers", 32,
+        "all control nodes, in a control node's file; the one of its own name is left out",
+        List.of(PEER_NAME, PEER_ADDRESS, PEER_REGION));
+
+    /** What a settings document of the control nodes may change while edges run. */
+    private static final Key<Double> ANY_AIM = Key.optional("aim", AIM.type(), null, AIM.meaning());
+    private static final Key<Double> ANY_DEADLINE = Key.optional("deadline", DEADLINE.type(), null,
+        DEADLINE.meaning());
+    private static final Key<Double> ANY_WORTH = Key.optional("worth", WORTH.type(), null, WORTH.meaning());
+    private static final Key<Double> ANY_LATE_WORTH = Key.optional("late-worth", LATE_WORTH.type(), null,
+        LATE_WORTH.meaning());
+    static final Key<Integer> ANY_ATTEMPTS = Key.optional("attempts", ATTEMPTS.type(), null,
+        ATTEMPTS.meaning());
+    static final Key<Double> ANY_RETRY_AFTER = Key.optional("retry-after", RETRY_AFTER.type(), null,
+        RETRY_AFTER.meaning());
+    static final Map<String, Key<Double>> OF_CLASS = Map.of("aim", ANY_AIM, "deadline", ANY_DEADLINE, "worth",
+        ANY_WORTH, "late-worth", ANY_LATE_WORTH);
+    static final Table LIVE_ROOT = new Table("", 0, "a settings document", List.of());
+    static final Table LIVE_CLASSES = new Table("classes", 64, "classes by their names",
+        List.of(CLASS_NAME, ANY_AIM, ANY_DEADLINE, ANY_WORTH, ANY_LATE_WORTH));
+    static final Table LIVE_LIMITS = new Table("limits", 0, "limits", List.of(ANY_ATTEMPTS, ANY_RETRY_AFTER));
+
     static final List<Table> TABLES = List.of(ROOT, LISTENERS, DOOR, LIST, ENDPOINTS, FLEET, CLASSES, TENANTS,
-        LIMITS, BALANCING, COLD_START, DRAIN, LOGGING);
+        LIMITS, BALANCING, COLD_START, DRAIN, LOGGING, CONTROL, PEERS);
 
     private Schema() {
     }
--- a/edge/src/main/java/lemonrail/config/TomlDocument.java
+++ b/edge/src/main/java/lemonrail/config/TomlDocument.java
@@ -36,7 +36,10 @@
 
     /** Reads a file as a whole; one that is not TOML is a {@link ConfigException}. */
     public static TomlDocument read(Path file, Map<String, String> environment) throws IOException {
-        String text = text(file);
+        return read(file, text(file), environment);
+    }
+
+    private static TomlDocument read(Path file, String text, Map<String, String> environment) {
         try {
             return new TomlDocument(TOML.readTree(text), environment,
                 new Findings(file, new TomlLines(text)));
@@ -51,6 +54,11 @@
         }
     }
 
+    /** Reads a text that stands in no file, by a name that stands for it; the environment has no say. */
+    static TomlDocument of(String text, String name) {
+        return read(Path.of(name), text, Map.of());
+    }
+
     private static String text(Path file) throws IOException {
         try {
             if (Files.size(file) > MOST_BYTES) {
--- a/edge/src/main/java/lemonrail/config/TomlReading.java
+++ b/edge/src/main/java/lemonrail/config/TomlReading.java
@@ -18,6 +18,7 @@
 import lemonrail.core.Contract.Server;
 import lemonrail.core.Contract.Settings;
 import lemonrail.core.Contract.Tenant;
+import lemonrail.discovery.ControlClient;
 import lemonrail.discovery.ServerList;
 import lemonrail.logging.EventLog;
 import lemonrail.logging.LogSettings;
@@ -49,6 +50,10 @@
         Section list = document.one(Schema.LIST);
         InetSocketAddress discovery = list.get(Schema.DISCOVERY);
         Double discoveryWaitMs = list.get(Schema.DISCOVERY_WAIT);
+        ControlClient.Plan control = control(list, name, discoveryWaitMs);
+        if (document.has(Schema.PEERS)) {
+            document.wrong(Schema.PEERS.name(), null, "goes into a control node's file");
+        }
         Section fleet = document.one(Schema.FLEET);
         List<String> zones = fleet.get(Schema.ZONES);
         int ownZone = ownZone(fleet, zones);
@@ -95,7 +100,28 @@
             folder == null ? PlatformFile.folder(environment) : Path.of(folder),
             seed == null ? ThreadLocalRandom.current().nextLong() : seed, memory / (double) (1 << 20),
             descriptors, idleMs, new ServerList.Names(zones, List.of()),
-            new ServerList(0, true, endpoints), settings, logging);
+            new ServerList(0, true, endpoints), settings, logging, control);
+    }
+
+    /** The control nodes to watch at, or null where there are none. */
+    private static ControlClient.Plan control(Section list, String name, Double waitMs) {
+        List<InetSocketAddress> nodes = list.get(Schema.NODES);
+        List<InetSocketAddress> fallbacks = list.get(Schema.FALLBACKS);
+        List<String> services = list.get(Schema.SERVICES);
+        String settings = list.get(Schema.DOCUMENT);
+        if (nodes == null) {
+            for (Key<?> key : List.of(Schema.FALLBACKS, Schema.SERVICES, Schema.DOCUMENT)) {
+                if (list.has(key)) {
+                    list.contradicts(key, "goes with discovery.addresses only");
+                }
+            }
+            return null;
+        }
+        if (list.has(Schema.DISCOVERY)) {
+            list.contradicts(Schema.NODES, "takes the place of discovery.address: one of the two must go");
+        }
+        return new ControlClient.Plan(name, nodes, fallbacks == null ? List.of() : fallbacks,
+            services == null ? List.of() : services, settings, waitMs);
     }
 
     private void takeAddress(Section section, Key<InetSocketAddress> key, InetSocketAddress address) {
@@ -220,6 +246,11 @@
     }
 
     private LogSettings logging() {
+        return logging(document);
+    }
+
+    /** The log, also of a control node; null where anything is wrong so far. */
+    static LogSettings logging(TomlDocument document) {
         Section section = document.one(Schema.LOGGING);
         LogSettings.Format format = section.get(Schema.FORMAT);
         Severity level = section.get(Schema.LEVEL);
--- a/edge/src/main/java/lemonrail/config/ValueType.java
+++ b/edge/src/main/java/lemonrail/config/ValueType.java
@@ -136,6 +136,23 @@
             });
     }
 
+    /** A list of different addresses. */
+    static ValueType<List<InetSocketAddress>> addresses(int most) {
+        ValueType<InetSocketAddress> one = address(1);
+        return new ValueType<>("array", "a list of 1 to " + most
+            + " different addresses, as in [\"127.0.0.1:9000\"]", node -> {
+                List<InetSocketAddress> all = new ArrayList<>();
+                for (JsonNode element : node) {
+                    InetSocketAddress read = one.read().apply(element);
+                    if (read == null || all.contains(read)) {
+                        return null;
+                    }
+                    all.add(read);
+                }
+                return !node.isArray() || all.isEmpty() || all.size() > most ? null : all;
+            });
+    }
+
     /** One of these words, in the order of the constants. */
     public static <E extends Enum<E>> ValueType<E> choice(Class<E> type, String... words) {
         List<String> all = Arrays.asList(words);
--- a/edge/src/main/java/lemonrail/control/ControlCalls.java
+++ b/edge/src/main/java/lemonrail/control/ControlCalls.java
@@ -8,8 +8,12 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import lemonrail.admin.Answer;
 import lemonrail.admin.Calls;
+import lemonrail.config.ConfigException;
+import lemonrail.config.Problem;
+import lemonrail.config.SettingsDocument;
 import lemonrail.core.control.ControlState.Taken;
 import lemonrail.core.control.Item;
 import lemonrail.json.Json;
@@ -35,6 +39,9 @@
         QueryStringDecoder call = new QueryStringDecoder(uri);
         try {
             return route(method, call.path(), asOf(call), body);
+        } catch (ConfigException e) {
+            return Answer.of(HttpResponseStatus.BAD_REQUEST,
+                e.problems().stream().map(Problem::toString).collect(Collectors.joining("\n")));
         } catch (IllegalArgumentException e) {
             return Answer.of(HttpResponseStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
         } catch (IllegalStateException e) {
@@ -107,8 +114,11 @@
         if (method.equals(HttpMethod.DELETE)) {
             return put(Change.settingsGone(name).asOf(asOfMs));
         }
-        return only(HttpMethod.PUT, method, () ->
-            put(Change.settings(name, new String(body, StandardCharsets.UTF_8)).asOf(asOfMs)));
+        return only(HttpMethod.PUT, method, () -> {
+            String text = new String(body, StandardCharsets.UTF_8);
+            SettingsDocument.check(text);
+            return put(Change.settings(name, text).asOf(asOfMs));
+        });
     }
 
     private static Answer unknown() {
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -120,7 +120,7 @@
     private final Budget budget;
     /** Begins a watch on discovery. */
     private final Runnable watch;
-    private final Settings settings;
+    private Settings settings;
     private final Events module;
     private final Suspensions suspensions;
     private final Map<String, Open<M, A>> table = new HashMap<>();
@@ -157,6 +157,20 @@
         return listed;
     }
 
+    /** The settings in force. */
+    public Settings settings() {
+        return settings;
+    }
+
+    /** Takes up settings that differ in what may change while requests are open; false if they can't be. */
+    public boolean settings(Settings changed) {
+        if (module.takesSettings()) {
+            settings = changed;
+            raise(null, now -> module.onSettings(now, changed));
+        }
+        return module.takesSettings();
+    }
+
     /** How many requests are open. */
     public int openRequests() {
         return table.size();
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -68,7 +68,7 @@
         budget = shard.budget();
         this.exchange = exchange;
         this.most = most;
-        heads = new RequestHeads(shard.settings());
+        heads = new RequestHeads(shard.settings(), exchange::settings);
     }
 
     @Override
--- a/edge/src/main/java/lemonrail/http1/RequestHeads.java
+++ b/edge/src/main/java/lemonrail/http1/RequestHeads.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.Settings;
 import lemonrail.http1.RequestReader.Refusal;
@@ -35,10 +36,12 @@
 
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
-    private final List<RequestClass> kinds;
+    private final Supplier<Settings> inForce;
 
-    RequestHeads(Settings settings) {
-        kinds = settings.classes();
+    /** Reads heads by the names of these settings, and by the times of those that are in force. */
+    RequestHeads(Settings settings, Supplier<Settings> inForce) {
+        this.inForce = inForce;
+        List<RequestClass> kinds = settings.classes();
         for (int i = 0; i < kinds.size(); i++) {
             name(classes, kinds.get(i).name(), i);
         }
@@ -85,7 +88,7 @@
         int kind = requestClass(head);
         // No client waits longer than its class may take, whatever it says.
         return new Told(headers.get(ID), kind, tenant(headers),
-            Math.min(deadline(headers), kinds.get(kind).deadlineMs()), "1".equals(headers.get("X-Retry")));
+            Math.min(deadline(headers), inForce.get().classes().get(kind).deadlineMs()), "1".equals(headers.get("X-Retry")));
     }
 
     /** What of a head is passed on. */
