Control: what was kept is told after others were heard, bad items keep none back, operators' page

A node that came up with a kept list told it before it had heard anybody, and as fresh: it now waits for another node, 2 s at most, and counts its age from when the list was kept. One item that a node can't read (a later version's, say) failed the whole watch on its peer: it is left out and logged. Both have a test.

--- a/core/src/main/java/lemonrail/core/control/ControlState.java
+++ b/core/src/main/java/lemonrail/core/control/ControlState.java
@@ -133,16 +133,16 @@
      * @param via that node
      */
     public Batch takeAll(long nowMs, List<Item> items, Map<String, Stamp> itsHeard, String via) {
-        Map<String, Stamp> before = new HashMap<>(heard);
         Set<String> changed = new TreeSet<>();
         int news = 0;
         int refused = 0;
         List<Item> ordered = new ArrayList<>(items);
+        // So that those of one node come in its order, and none looks like one that was heard before.
         ordered.sort(Comparator.comparing(Item::stamp));
         long byStamp = 0;
         for (Item item : ordered) {
             byStamp = Math.max(byStamp + 1, item.stamp().ms() << NUMBERS_BITS);
-            Taken taken = take(nowMs, item, before, byStamp, via);
+            Taken taken = take(nowMs, item, byStamp, via);
             if (taken == Taken.NEWS) {
                 news++;
                 changed.add(item.topic());
@@ -159,7 +159,7 @@
         return new Batch(changed, news, refused);
     }
 
-    private Taken take(long nowMs, Item item, Map<String, Stamp> before, long byStamp, String via) {
+    private Taken take(long nowMs, Item item, long byStamp, String via) {
         Stamp stamp = item.stamp();
         if (stamp.ms() > nowMs + bounds.aheadMs()) {
             return Taken.AHEAD;
@@ -169,7 +169,7 @@
         if (newer <= 0) {
             return newer == 0 ? Taken.KNOWN : Taken.OLDER;
         }
-        if (held == null && stamp.isWithin(before)) {
+        if (held == null && stamp.isWithin(heard)) {
             // It was heard, and is here no more: it has been removed, and even that is forgotten.
             return Taken.OLDER;
         }
--- a/core/src/main/java/lemonrail/core/control/InForce.java
+++ b/core/src/main/java/lemonrail/core/control/InForce.java
@@ -68,7 +68,8 @@
         Map<String, List<Word>> byDocument = new TreeMap<>();
         seen.values().stream().filter(one -> one.atMs() >= nowMs - SILENT_MS).map(Seen::word)
             .filter(word -> !word.document().isEmpty())
-            .forEach(word -> byDocument.computeIfAbsent(word.document(), name -> new ArrayList<>()).add(word));
+            .forEach(word -> byDocument.computeIfAbsent(word.document(), name -> new ArrayList<>())
+                .add(word));
         List<Summary> all = new ArrayList<>();
         byDocument.forEach((document, words) -> {
             Stamp oldest = words.stream().map(Word::inForce).min(Comparator.naturalOrder())
--- a/core/src/test/java/lemonrail/core/control/ControlStateTest.java
+++ b/core/src/test/java/lemonrail/core/control/ControlStateTest.java
@@ -251,11 +251,13 @@
             switch (random.nextInt(5)) {
                 case 0 -> node.state.accept(now, "quote", id, false, "v" + step);
                 case 1 -> node.state.accept(now, "quote", id, true, "");
-                case 2 -> node.state.acceptAsOf(now, now - random.nextInt(2000), "quote", id, false, "w" + step);
+                case 2 -> node.state.acceptAsOf(now, now - random.nextInt(2000), "quote", id, false,
+                    "w" + step);
                 default -> node.hear(now, nodes.get(random.nextInt(nodes.size())));
             }
             node.state.since(QUOTE, ControlState.back(node.state.version(now), random.nextInt(500)))
-                .forEach(item -> watcher.take(new Replica.Key("quote", item.id()), item.stamp(), item.gone()));
+                .forEach(item -> watcher.take(new Replica.Key("quote", item.id()), item.stamp(),
+                    item.gone()));
         }
         for (int round = 0; round < 3; round++) {
             nodes.forEach(node -> nodes.forEach(other -> node.hear(T + 10_000, other)));
--- a/core/src/test/java/lemonrail/core/control/ReplicaTest.java
+++ b/core/src/test/java/lemonrail/core/control/ReplicaTest.java
@@ -53,7 +53,8 @@
             replica.take(key, stamp(5, "a"), false);
             replica.take(key, stamp(6, "a"), true);
         }
-        assertFalse(replica.take(new Key("quote", "s" + (2 * Replica.MOST_REMOVED - 1)), stamp(5, "a"), false));
+        Key last = new Key("quote", "s" + (2 * Replica.MOST_REMOVED - 1));
+        assertFalse(replica.take(last, stamp(5, "a"), false));
         assertTrue(replica.take(new Key("quote", "s0"), stamp(5, "a"), false), "the oldest is forgotten");
     }
 
@@ -93,7 +94,8 @@
         InForce inForce = new InForce();
         inForce.called(1000, new InForce.Word("one", "base", stamp(5, "a"), null, ""));
         inForce.called(1000, new InForce.Word("two", "base", stamp(7, "a"), null, ""));
-        inForce.called(1001, new InForce.Word("three", "base", stamp(5, "a"), stamp(7, "a"), "no such class"));
+        inForce.called(1001, new InForce.Word("three", "base", stamp(5, "a"), stamp(7, "a"),
+            "no such class"));
         inForce.called(1001, new InForce.Word("four", "", Stamp.NONE, null, ""));
         InForce.Summary base = inForce.summaries(1002).get(0);
         assertEquals(3, base.watchers());
--- a/core/src/test/java/lemonrail/core/policy/LiveSettingsTest.java
+++ b/core/src/test/java/lemonrail/core/policy/LiveSettingsTest.java
@@ -14,13 +14,15 @@
 /** Settings that change while calls are in hand: what may, is taken up, and what was learned stays. */
 class LiveSettingsTest {
 
-    private static Settings with(Settings base, double aimMs, double deadlineMs, int tries, Tenant... tenants) {
+    private static Settings with(Settings base, double aimMs, double deadlineMs, int tries,
+            Tenant... tenants) {
         List<RequestClass> classes = base.classes().stream().map(kind -> new RequestClass(kind.name(), aimMs,
             deadlineMs, kind.worth(), kind.lateWorth(), kind.effect(), kind.group(), kind.windowMs(),
             kind.stream())).toList();
         Limits limits = base.limits();
-        return new Settings(base.balancers(), base.ownNumber(), base.ownZone(), base.tier(), base.asksForList(),
-            base.weighted(), base.overShareWorth(), base.crossZonePrice(), classes, List.of(tenants),
+        return new Settings(base.balancers(), base.ownNumber(), base.ownZone(), base.tier(),
+            base.asksForList(), base.weighted(), base.overShareWorth(), base.crossZonePrice(), classes,
+            List.of(tenants),
             new Limits(tries, limits.parallelTries(), limits.cancel(), limits.maxCoolDownMs(),
                 limits.connectTimeoutMs()), base.rules());
     }
--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -36,6 +36,12 @@
 
     /** How often what is known is kept, if it has changed, and removals are forgotten. */
     private static final int KEEP_MS = 5_000;
+    /** How often it is kept if it has not: its time tells how old it is. */
+    private static final int KEEP_ANYWAY_MS = 60_000;
+    /** For so long a node that has what was kept waits for another node, which may know more. */
+    private static final int HEAR_FIRST_MS = 2_000;
+    /** What is told to other nodes of the watchers is put together this often at most. */
+    private static final int WATCHING_MS = 500;
 
     private final ControlConfig config;
     private final MultiThreadIoEventLoopGroup group;
@@ -51,6 +57,11 @@
     private final WatchServer server;
     private final OperatorsDoor door;
     private boolean unkept;
+    private long keptAt;
+    /** Up to when its knowledge goes where no other node was heard since the start. */
+    private long knownAt;
+    private Map<String, Object> watching;
+    private double watchingUntil;
     private boolean stopped;
 
     private ControlNode(ControlConfig config, LogSink sink) {
@@ -60,6 +71,7 @@
         loop = (EventLoop) group.next();
         log = new EventLog(clock, sink).in("control");
         long nowMs = nowMs();
+        knownAt = nowMs;
         state = new ControlState(config.name(), Bounds.USUAL, nowMs);
         boot = config.name() + "-" + Long.toString(nowMs, Character.MAX_RADIX);
         file = config.kept() == null ? null : new StateFile(config.kept());
@@ -77,8 +89,8 @@
     /** Takes in what was kept, opens the listeners, and begins to watch the other nodes. */
     public void open() throws IOException {
         try {
-            if (file != null && onLoop(() -> file.read(state, nowMs()))) {
-                log.info("kept_state", "begun from what was kept: " + state.sizes().get(0) + " items");
+            if (file != null) {
+                onLoop(this::takeKept);
             }
             bound("control.address", config.address(), server.listen(config.address()));
             if (config.admin() != null) {
@@ -94,6 +106,21 @@
             + address() + " with " + config.peers().size() + " other nodes", "address", address());
     }
 
+    private Void takeKept() throws IOException {
+        long at = file.read(state, nowMs());
+        if (at >= 0) {
+            knownAt = at;
+            log.info("kept_state", "what was kept has " + state.sizes().get(0) + " items and is "
+                + (nowMs() - at) / 1000 + " s old");
+            if (config.peers().isEmpty()) {
+                state.begin();
+            } else {
+                loop.schedule(state::begin, HEAR_FIRST_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+        return null;
+    }
+
     private static void bound(String field, InetSocketAddress at, ChannelFuture bound) throws IOException {
         if (!bound.awaitUninterruptibly().isSuccess()) {
             throw new IOException(field + ": cannot listen on " + at + ": " + bound.cause().getMessage());
@@ -204,7 +231,8 @@
     }
 
     private void heard(PeerWatch from, Map<?, ?> answer) {
-        List<Item> items = ItemText.items(answer);
+        List<Item> items = ItemText.items(answer, why ->
+            log.trouble("item_unreadable", "an item of node " + from.peer().name() + " is left out", why));
         ControlState.Batch batch = state.takeAll(nowMs(), items, ItemText.heard(answer), from.peer().name());
         if (!state.isReady()) {
             if (!Boolean.TRUE.equals(answer.get("full"))) {
@@ -225,9 +253,10 @@
     private void keep() {
         try {
             state.expire(nowMs());
-            if (file != null && unkept) {
-                file.write(state);
+            if (file != null && state.isReady() && (unkept || nowMs() - keptAt >= KEEP_ANYWAY_MS)) {
+                file.write(state, nowMs());
                 unkept = false;
+                keptAt = nowMs();
             }
         } catch (IOException e) {
             log.trouble("not_kept", "what is known is not kept", e.getMessage());
@@ -263,6 +292,17 @@
         });
     }
 
+    /** The stamp of the last word on an item as it is told, or empty where there was none. */
+    public String stamp(String topic, String id) {
+        Item item = item(topic, id);
+        return item == null ? "" : item.stamp().text();
+    }
+
+    /** The id of the thread that all its work is done by, to measure what it costs. */
+    public long threadId() {
+        return asked(() -> Thread.currentThread().getId());
+    }
+
     Item item(String topic, String id) {
         return asked(() -> state.get(topic, id));
     }
@@ -305,7 +345,7 @@
                 others.add(one);
             }
             all.put("peers", others);
-            all.put("watching", watching());
+            all.put("watching", watchingNow());
             List<Object> documents = new ArrayList<>();
             state.topics().stream().filter(topic -> topic.startsWith(Item.SETTINGS)).forEach(topic ->
                 state.live(List.of(topic)).forEach(item -> documents.add(Map.of("name", item.id(), "stamp",
@@ -315,8 +355,17 @@
         });
     }
 
-    /** Of this node's own watchers: how many, and for each document the oldest in force and refusals. */
+    /** The same as of late: it goes into each answer to another node. */
     private Map<String, Object> watching() {
+        if (watching == null || clock.now() >= watchingUntil) {
+            watching = watchingNow();
+            watchingUntil = clock.now() + WATCHING_MS;
+        }
+        return watching;
+    }
+
+    /** Of this node's own watchers: how many, and for each document the oldest in force and refusals. */
+    private Map<String, Object> watchingNow() {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("watchers", inForce.watchers(nowMs()));
         List<Object> documents = new ArrayList<>();
@@ -339,7 +388,11 @@
 
     /** Since any other node was last heard; 0 where there is none. */
     private long ageMs() {
-        return (long) peers.values().stream().mapToDouble(PeerWatch::ageMs).min().orElse(0);
+        if (peers.isEmpty()) {
+            return 0;
+        }
+        return peers.values().stream().anyMatch(PeerWatch::wasHeard) ? (long) peers.values().stream()
+            .filter(PeerWatch::wasHeard).mapToDouble(PeerWatch::ageMs).min().orElse(0) : nowMs() - knownAt;
     }
 
     /** For each other region, since any of its nodes was last heard. */
--- a/edge/src/main/java/lemonrail/control/ItemText.java
+++ b/edge/src/main/java/lemonrail/control/ItemText.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import lemonrail.core.control.Item;
 import lemonrail.core.control.Stamp;
@@ -42,6 +43,11 @@
                 throw new IllegalArgumentException("unknown field " + name + "; there may be " + FIELDS);
             }
         }
+        return line(id, fields);
+    }
+
+    /** The same without a word on fields that are unknown here: a later version's node may tell more. */
+    private static String line(String id, Map<?, ?> fields) {
         if (fields.get("id") != null && !id.equals(fields.get("id"))) {
             throw ServerList.bad("id", fields.get("id"));
         }
@@ -130,20 +136,31 @@
         return servers.append(settings).append(']').toString();
     }
 
-    /** The items of an answer of another node, each checked like one of an operator. */
-    static List<Item> items(Map<?, ?> answer) {
+    /**
+     * The items of an answer of another node, each checked like one of an operator. A bad one is left out and
+     * told: it must not keep all others from coming.
+     */
+    static List<Item> items(Map<?, ?> answer, Consumer<String> bad) {
         List<Item> items = new ArrayList<>();
         for (Map<?, ?> line : lines(answer, "servers")) {
-            String id = word("servers[].id", line.get("id"));
-            boolean gone = "terminated".equals(line.get("state"));
-            items.add(new Item(word("servers[].service", line.get("service")), id, stamp(line), gone,
-                gone ? "" : endpoint(id, line)));
+            try {
+                String id = word("servers[].id", line.get("id"));
+                boolean gone = "terminated".equals(line.get("state"));
+                items.add(new Item(word("servers[].service", line.get("service")), id, stamp(line), gone,
+                    gone ? "" : line(id, line)));
+            } catch (IllegalArgumentException e) {
+                bad.accept(e.getMessage());
+            }
         }
         for (Map<?, ?> line : lines(answer, "settings")) {
-            String name = word("settings[].name", line.get("name"));
-            boolean gone = Boolean.TRUE.equals(line.get("gone"));
-            items.add(new Item(Item.SETTINGS + name, name, stamp(line), gone,
-                gone ? "" : document(line.get("text"))));
+            try {
+                String name = word("settings[].name", line.get("name"));
+                boolean gone = Boolean.TRUE.equals(line.get("gone"));
+                items.add(new Item(Item.SETTINGS + name, name, stamp(line), gone,
+                    gone ? "" : document(line.get("text"))));
+            } catch (IllegalArgumentException e) {
+                bad.accept(e.getMessage());
+            }
         }
         return items;
     }
--- a/edge/src/main/java/lemonrail/control/StateFile.java
+++ b/edge/src/main/java/lemonrail/control/StateFile.java
@@ -23,26 +23,27 @@
     }
 
     /** Writes all that is known; a reader finds the old file or the new one. */
-    void write(ControlState state) throws IOException {
+    void write(ControlState state, long nowMs) throws IOException {
         Map<String, Object> heard = new LinkedHashMap<>();
         for (Map.Entry<String, Stamp> entry : state.heard().entrySet()) {
             heard.put(entry.getKey(), entry.getValue().text());
         }
-        String text = "{\"heard\":" + Json.text(heard) + "," + ItemText.lists(state.everything()) + "}";
+        String text = "{\"kept_ms\":" + nowMs + ",\"heard\":" + Json.text(heard) + "," + ItemText.lists(state.everything()) + "}";
         Path next = file.resolveSibling(file.getFileName() + ".next");
         Files.write(next, text.getBytes(StandardCharsets.UTF_8));
         Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
     }
 
-    /** Takes in what was kept; false if there is nothing. What can't be read is an exception. */
-    boolean read(ControlState state, long nowMs) throws IOException {
+    /** Takes in what was kept, and tells when; below 0 if there is nothing. A bad file is an exception. */
+    long read(ControlState state, long nowMs) throws IOException {
         if (!Files.exists(file)) {
-            return false;
+            return -1;
         }
         Map<?, ?> kept = ItemText.object(Files.readAllBytes(file));
-        List<Item> items = ItemText.items(kept);
+        List<Item> items = ItemText.items(kept, why -> {
+            throw new IllegalArgumentException(file + ": " + why);
+        });
         state.takeAll(nowMs, items, ItemText.heard(kept), "");
-        state.begin();
-        return true;
+        return kept.get("kept_ms") instanceof Double ms ? ms.longValue() : 0;
     }
 }
--- a/edge/src/test/java/lemonrail/control/ControlNodeTest.java
+++ b/edge/src/test/java/lemonrail/control/ControlNodeTest.java
@@ -11,8 +11,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import lemonrail.config.ControlConfig;
 import lemonrail.core.control.ControlState.Taken;
 import lemonrail.discovery.ServerList;
+import lemonrail.logging.LogSettings;
+import lemonrail.logging.TextSink;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -404,6 +407,61 @@
         nodes.put("w1", "quote", "s1", "in_service");
     }
 
+    /** Guards against a node that comes up with an old list and tells it before it has heard the others. */
+    @Test
+    void whatWasKeptIsToldOnlyAfterAnotherNodeWasHeardOrAWhile() throws Exception {
+        nodes = Nodes.of("w1");
+        nodes.put("w1", "quote", "s1", "in_service");
+        ControlNode kept = nodes.start("w2", "west", Nodes.anyPort(), folder);
+        kept.watch(nodes.node("w1").asPeer());
+        Nodes.await("it is ready", kept::isReady);
+        kept.stop();
+        nodes.put("w1", "quote", "s1", "terminating");
+        ControlNode again = ControlNode.create(new ControlConfig("w2", "west", Nodes.anyPort(), null,
+            List.of(nodes.node("w1").asPeer()), ControlConfig.MOST_WATCHERS, ControlConfig.ANSWER_GAP_MS,
+            folder, LogSettings.USUAL), new TextSink(System.err));
+        nodes.all.add(again);
+        again.open();
+        Watcher watcher = new Watcher("quote").to(again.address());
+        watchers.add(watcher);
+        Nodes.await("it is ready", again::isReady);
+        assertEquals("terminating", watcher.watch(0).states.get("s1"));
+        again.stop();
+        nodes.node("w1").stop();
+        ControlNode alone = ControlNode.create(new ControlConfig("w2", "west", Nodes.anyPort(), null,
+            List.of(nodes.node("w1").asPeer()), ControlConfig.MOST_WATCHERS, ControlConfig.ANSWER_GAP_MS,
+            folder, LogSettings.USUAL), new TextSink(System.err));
+        nodes.all.add(alone);
+        long began = System.nanoTime();
+        alone.open();
+        Nodes.await("it goes on alone", alone::isReady);
+        assertTrue((System.nanoTime() - began) / 1e6 > 1900, "not at once");
+        assertTrue((Long) alone.status().get("age_ms") > 1900, "it says how old that is");
+        assertEquals("terminating", watcher.to(alone.address()).watch(0).states.get("s1"));
+    }
+
+    /** Guards against one item of another version's node that keeps all others from coming. */
+    @Test
+    void anItemThatCannotBeReadKeepsNoOtherBack() throws Exception {
+        nodes.start("w1", "west");
+        String list = "{\"version\":5,\"full\":true,\"node\":\"x-1\",\"heard\":{\"x\":\"7.0.x\"},\"servers\":["
+            + "{\"id\":\"s1\",\"addr\":\"10.0.0.1:1\",\"state\":\"asleep\",\"service\":\"quote\",\"stamp\":\"5.0.x\"},"
+            + "{\"id\":\"s2\",\"addr\":\"10.0.0.1:1\",\"state\":\"in_service\",\"service\":\"quote\","
+            + "\"stamp\":\"6.0.x\",\"colour\":\"blue\"}],\"settings\":[]}";
+        try (java.net.ServerSocket later = new java.net.ServerSocket(0, 5,
+                java.net.InetAddress.getLoopbackAddress())) {
+            nodes.node("w1").watch(new ControlConfig.Peer("x", new java.net.InetSocketAddress(
+                later.getInetAddress(), later.getLocalPort()), "west"));
+            try (java.net.Socket socket = later.accept()) {
+                socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + list.length()
+                    + "\r\n\r\n" + list).getBytes(StandardCharsets.ISO_8859_1));
+                Nodes.await("it is ready", nodes.node("w1")::isReady);
+                assertTrue(nodes.node("w1").get("quote", "s2").contains("in_service"));
+                assertEquals(null, nodes.node("w1").get("quote", "s1"));
+            }
+        }
+    }
+
     @Test
     void whatIsInForceAndWhatWasRefusedIsTold() throws Exception {
         nodes = Nodes.of("w1", "w2");
