--- a/edge/src/main/java/lemonrail/config/SettingsDocument.java
+++ b/edge/src/main/java/lemonrail/config/SettingsDocument.java
@@ -72,8 +72,8 @@
         unknown(read.tenantSections, Schema.TENANT, tenants.stream().map(Tenant::name).toList());
         for (RequestClass kind : classes) {
             if (own.limits().connectTimeoutMs() > kind.deadlineMs()) {
-                read.document.wrong("classes", kind.name(), "this edge's limits.connect-timeout is longer than "
-                    + "the deadline of this class");
+                read.document.wrong("classes", kind.name(),
+                    "this edge's limits.connect-timeout is longer than the deadline of this class");
             }
         }
         read.document.check();
--- a/edge/src/main/java/lemonrail/control/ControlCalls.java
+++ b/edge/src/main/java/lemonrail/control/ControlCalls.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -83,7 +84,7 @@
         };
     }
 
-    private static Answer only(HttpMethod taken, HttpMethod method, java.util.function.Supplier<Answer> call) {
+    private static Answer only(HttpMethod taken, HttpMethod method, Supplier<Answer> call) {
         return taken.equals(method) ? call.get() : new Answer(HttpResponseStatus.METHOD_NOT_ALLOWED,
             "this path takes " + taken + " only\n", taken);
     }
--- a/edge/src/main/java/lemonrail/control/ItemText.java
+++ b/edge/src/main/java/lemonrail/control/ItemText.java
@@ -97,8 +97,8 @@
                 return fields;
             }
         } catch (IOException e) {
-            throw new IllegalArgumentException("it is no JSON: " + e.getMessage().lines().findFirst().orElse(""),
-                e);
+            throw new IllegalArgumentException("it is no JSON: "
+                + e.getMessage().lines().findFirst().orElse(""), e);
         }
         throw new IllegalArgumentException("it holds no JSON object");
     }
--- a/edge/src/main/java/lemonrail/control/StateFile.java
+++ b/edge/src/main/java/lemonrail/control/StateFile.java
@@ -28,7 +28,8 @@
         for (Map.Entry<String, Stamp> entry : state.heard().entrySet()) {
             heard.put(entry.getKey(), entry.getValue().text());
         }
-        String text = "{\"kept_ms\":" + nowMs + ",\"heard\":" + Json.text(heard) + "," + ItemText.lists(state.everything()) + "}";
+        String text = "{\"kept_ms\":" + nowMs + ",\"heard\":" + Json.text(heard) + ","
+            + ItemText.lists(state.everything()) + "}";
         Path next = file.resolveSibling(file.getFileName() + ".next");
         Files.write(next, text.getBytes(StandardCharsets.UTF_8));
         Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
--- a/edge/src/main/java/lemonrail/control/WatchCall.java
+++ b/edge/src/main/java/lemonrail/control/WatchCall.java
@@ -21,8 +21,8 @@
  * @param peer the node that asks, or empty where a sidecar does
  * @param word who asks and what is in force there, or null where it doesn't say
  */
-record WatchCall(List<String> topics, boolean all, long index, long waitMs, String from, Long digest, String peer,
-        InForce.Word word) {
+record WatchCall(List<String> topics, boolean all, long index, long waitMs, String from, Long digest,
+        String peer, InForce.Word word) {
 
     private static final long MOST_WAIT_MS = 60_000;
     private static final int MOST_TOPICS = 256;
@@ -63,7 +63,8 @@
         String why = first(given, "why", "");
         return new InForce.Word(ItemText.word("name", name), document,
             inForce.isEmpty() ? Stamp.NONE : Stamp.parse(inForce),
-            refused.isEmpty() ? null : Stamp.parse(refused), why.substring(0, Math.min(MOST_WHY, why.length())));
+            refused.isEmpty() ? null : Stamp.parse(refused),
+            why.substring(0, Math.min(MOST_WHY, why.length())));
     }
 
     private static String first(Map<String, List<String>> given, String name, String absent) {
--- a/edge/src/main/java/lemonrail/discovery/WatchLink.java
+++ b/edge/src/main/java/lemonrail/discovery/WatchLink.java
@@ -26,7 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import lemonrail.net.Sockets;
 
-/** The calls of one watch, one at a time and each with a time limit, on one connection as long as it lasts. */
+/** The calls of one watch, one at a time, each with a time limit, on one connection as long as it lasts. */
 public final class WatchLink {
 
     /** What becomes of a call: one of the two, once. */
--- a/edge/src/main/java/lemonrail/http1/RequestHeads.java
+++ b/edge/src/main/java/lemonrail/http1/RequestHeads.java
@@ -88,7 +88,8 @@
         int kind = requestClass(head);
         // No client waits longer than its class may take, whatever it says.
         return new Told(headers.get(ID), kind, tenant(headers),
-            Math.min(deadline(headers), inForce.get().classes().get(kind).deadlineMs()), "1".equals(headers.get("X-Retry")));
+            Math.min(deadline(headers), inForce.get().classes().get(kind).deadlineMs()),
+            "1".equals(headers.get("X-Retry")));
     }
 
     /** What of a head is passed on. */
--- a/edge/src/test/java/lemonrail/assembly/ControlledEdgeTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ControlledEdgeTest.java
@@ -151,7 +151,8 @@
             "{\"addr\":\"10.0.0.1:1\",\"state\":\"gone\"}"));
         operated("field service is not usable", 400, operate(0, "PUT", "/v1/services/a%20b/endpoints/s1",
             "{\"addr\":\"10.0.0.1:1\"}"));
-        operated("there is no such thing", 404, operate(0, "PUT", "/v1/services/quote/endpoints/s1/drain", ""));
+        operated("there is no such thing", 404,
+            operate(0, "PUT", "/v1/services/quote/endpoints/s1/drain", ""));
         operated("this path takes PUT only", 405, operate(0, "POST", "/v1/control/begin", ""));
         operated("unknown path", 404, operate(0, "GET", "/v1/other", ""));
         operated("settings:1: ", 400, operate(0, "PUT", "/v1/settings/base", "[listeners]"));
@@ -195,7 +196,9 @@
         });
         operated("accepted", 200, operate(0, "DELETE", "/v1/settings/base", ""));
         awaitAnswer(taker, "first");
-        Rig.await("no refusal stands", () -> !Json.text(nodes.get(0).status()).contains("\"refuser\",\"stamp\"")
-            && Json.text(nodes.get(0).status()).contains("\"refusals\":0"));
+        Rig.await("no refusal stands", () -> {
+            String status = Json.text(nodes.get(0).status());
+            return !status.contains("\"refuser\",\"stamp\"") && status.contains("\"refusals\":0");
+        });
     }
 }
--- a/edge/src/test/java/lemonrail/control/ControlClientTest.java
+++ b/edge/src/test/java/lemonrail/control/ControlClientTest.java
@@ -230,7 +230,8 @@
         Nodes.await("the operators see it", () -> {
             String status = lemonrail.json.Json.text(nodes.node("w1").status().get("watching"));
             return status.contains("\"refusals\":1,\"refused\":[{") && status.contains("it is bad")
-                && status.contains("\"watchers\":2,\"oldest\":\"") && !status.contains("\"oldest\":\"" + stamp)
+                && status.contains("\"watchers\":2,\"oldest\":\"")
+                && !status.contains("\"oldest\":\"" + stamp)
                 && status.contains("\"oldest_at\":[\"edge-1\"]");
         });
         nodes.node("w1").put(Change.settings("base", "good 3"));
--- a/edge/src/test/java/lemonrail/control/ControlNodeTest.java
+++ b/edge/src/test/java/lemonrail/control/ControlNodeTest.java
@@ -444,8 +444,10 @@
     @Test
     void anItemThatCannotBeReadKeepsNoOtherBack() throws Exception {
         nodes.start("w1", "west");
-        String list = "{\"version\":5,\"full\":true,\"node\":\"x-1\",\"heard\":{\"x\":\"7.0.x\"},\"servers\":["
-            + "{\"id\":\"s1\",\"addr\":\"10.0.0.1:1\",\"state\":\"asleep\",\"service\":\"quote\",\"stamp\":\"5.0.x\"},"
+        String list = "{\"version\":5,\"full\":true,\"node\":\"x-1\",\"heard\":{\"x\":\"7.0.x\"},"
+            + "\"servers\":["
+            + "{\"id\":\"s1\",\"addr\":\"10.0.0.1:1\",\"state\":\"asleep\",\"service\":\"quote\","
+            + "\"stamp\":\"5.0.x\"},"
             + "{\"id\":\"s2\",\"addr\":\"10.0.0.1:1\",\"state\":\"in_service\",\"service\":\"quote\","
             + "\"stamp\":\"6.0.x\",\"colour\":\"blue\"}],\"settings\":[]}";
         try (java.net.ServerSocket later = new java.net.ServerSocket(0, 5,
