--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -322,6 +322,19 @@
         return asked(server::figures);
     }
 
+    /** The digest over some services, as a watcher that holds all of them tells it. */
+    public long digest(List<String> services) {
+        return asked(() -> state.digest(services));
+    }
+
+    /** Has all that passes between this node and its watchers seen. */
+    public void observe(WatchObserver observer) {
+        asked(() -> {
+            server.observe(observer);
+            return null;
+        });
+    }
+
     /** What operators see, as fields. */
     public Map<String, Object> status() {
         return asked(() -> {
--- a/edge/src/main/java/lemonrail/control/WatchServer.java
+++ b/edge/src/main/java/lemonrail/control/WatchServer.java
@@ -63,6 +63,8 @@
     private static final int MOST_HEAD_BYTES = 8 * 1024;
     private static final int MOST_CHUNK_BYTES = 4 * 1024;
     private static final int MOST_BODY_BYTES = 1024;
+    /** What a head has beside the call's path, about. */
+    private static final int HEAD_BYTES = 80;
 
     /** What the node adds to each answer, and who may not be answered. */
     interface Node {
@@ -87,6 +89,7 @@
     /** Connections whose last answer has not gone to the system whole, the longest at it first. */
     private final Set<Connection> untaken = new LinkedHashSet<>();
     private final Set<Connection> waiting = new LinkedHashSet<>();
+    private WatchObserver observer = (name, digest, calledBytes, answeredBytes) -> { };
     private long untakenBytes;
     private long answered;
     private long slowClosed;
@@ -138,6 +141,10 @@
             answers.made());
     }
 
+    void observe(WatchObserver seeing) {
+        observer = seeing;
+    }
+
     /** Something has arrived in these topics. */
     void changed(Set<String> topics) {
         for (Connection connection : new ArrayList<>(waiting)) {
@@ -207,6 +214,7 @@
         private double lastActive = clock.now();
         private double untakenSince;
         private long unwritten;
+        private int callBytes;
 
         Connection(SocketChannel channel) {
             this.channel = channel;
@@ -229,6 +237,7 @@
                 return;
             }
             keepAlive = HttpUtil.isKeepAlive(request);
+            callBytes = request.uri().length() + HEAD_BYTES;
             QueryStringDecoder query = new QueryStringDecoder(request.uri());
             if (request.decoderResult().isFailure()) {
                 refuse(HttpResponseStatus.BAD_REQUEST, "malformed call");
@@ -261,6 +270,7 @@
             }
             if (asked.word() != null) {
                 name = asked.word().name();
+                observer.passed(name, asked.digest(), callBytes, 0);
                 inForce.called((long) clock.now(), asked.word());
             }
             call = asked;
@@ -374,6 +384,7 @@
             done();
             int size = text.readableBytes();
             bytes += size;
+            observer.passed(name, null, 0, size + HEAD_BYTES);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, size)
                 .set(HttpHeaderNames.CONTENT_TYPE, status.code() == 200 ? "application/json" : "text/plain");
--- a/edge/src/main/java/lemonrail/discovery/ControlClient.java
+++ b/edge/src/main/java/lemonrail/discovery/ControlClient.java
@@ -71,6 +71,7 @@
     private Stamp refused;
     private String why = "";
     private boolean heard;
+    private boolean closed;
     private Future<?> retry;
 
     /** A client by this plan, which watches from the first {@link #watch} on. */
@@ -117,11 +118,26 @@
 
     /** Starts the watch; one that is on goes on. */
     public void watch() {
-        if (!link.isCalling() && retry == null) {
+        if (!closed && !link.isCalling() && retry == null) {
             ask();
         }
     }
 
+    /** The digest over all items that are held, as the nodes count it. */
+    public long digest() {
+        return replica.digest();
+    }
+
+    /** Ends the watch. */
+    public void close() {
+        if (retry != null) {
+            retry.cancel(false);
+            retry = null;
+        }
+        closed = true;
+        link.end();
+    }
+
     /** How many items are held. */
     public int known() {
         return replica.size();
