The limit: a spread of work isn't crowding, and ends that tell nothing no longer cut it

Now only answers, time-outs and full servers count. - An answer under the base time counted as 0, not below it. Answers now count by how far they are from the base time, either way, up to twice what the aim leaves. A small limit halves the comfort besides, so that it did not come back.

Both tests fail without the change ("1 calls at once, then 1"; "after CANCELED").

--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -24,6 +24,8 @@
     /** The part of it left where the limit is small, and the limit from which all of it counts. */
     private static final double LEAST_COMFORT = 0.5;
     private static final double AMPLE_LIMIT = 3;
+    /** The most that one answer's time counts for, either way. */
+    private static final double MOST_EXCESS = 2;
     /** Weight of a new outcome in the pressure, and what a crowded pool's limit is cut to. */
     private static final double PRESSURE_GAIN = 1.0 / 16;
     private static final double CUT = 0.85;
@@ -136,16 +138,11 @@
         lastEnd = now;
         lastTook = finished.tookMs();
         Target target = attempt.slot().target;
-        double base = call.learned.baseMs();
-        if (finished.outcome() == Outcome.TIMED_OUT && health.hangs(now, target)) {
+        if (!tellsOfCrowding(finished.outcome())
+                || finished.outcome() == Outcome.TIMED_OUT && health.hangs(now, target)) {
             return;
         }
-        double ratio = switch (finished.outcome()) {
-            case OK, TIMED_OUT -> Math.max(0, Math.min(2, (finished.tookMs() - base)
-                / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4)));
-            case QUEUE_FULL -> 1;
-            default -> pressure;
-        };
+        double ratio = finished.outcome() == Outcome.QUEUE_FULL ? 1 : excess(call, finished);
         locality.crowding(target, ratio);
         if (finished.outcome() == Outcome.OK) {
             target.answered(now, ratio);
@@ -169,6 +166,23 @@
         }
     }
 
+    /** How crowded servers are shows in what they answer and when; each such word moves the limit once. */
+    private static boolean tellsOfCrowding(Outcome outcome) {
+        return outcome == Outcome.OK || outcome == Outcome.TIMED_OUT || outcome == Outcome.QUEUE_FULL;
+    }
+
+    /**
+     * What an attempt took beyond the base time, as a part of what the aim leaves. Quicker answers count
+     * below zero: calls differ in work, and if only the slow ones counted, that would pass for crowding.
+     */
+    private static double excess(Call call, Finished finished) {
+        double base = call.learned.baseMs();
+        double ratio = (finished.tookMs() - base) / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4);
+        // How long it would have taken is not known of an answer that has not come.
+        double least = finished.outcome() == Outcome.OK ? -MOST_EXCESS : 0;
+        return Math.max(least, Math.min(MOST_EXCESS, ratio));
+    }
+
     /** Against a cascade: while answers are slow, calls that leave one server must not crowd the next. */
     boolean crowds(Slot slot) {
         return settings.tier() == 0 && pressure > comfort() / 2 && ranks.formula(slot)
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -578,6 +578,39 @@
         assertTrue(atOnceAfter(large, 260, 8) >= before, "the same answers leave a larger limit alone");
     }
 
+    /** Guards against a limit that ends which tell nothing cut again and again after a slow moment. */
+    @Test
+    void endsThatTellNothingOfCrowdingLeaveTheLimitAlone() {
+        for (Outcome outcome : List.of(Outcome.CANCELED, Outcome.CONNECT_ERROR, Outcome.RESET, Outcome.FAILED)) {
+            Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(20));
+            atOnceAfter(f, 100, 20);
+            atOnceAfter(f, 900, 2);
+            int before = takenAtOnce(f);
+            for (int i = 0; i < 20; i++) {
+                f.now += 300;
+                f.request(Fixture.ONCE);
+                Recorder.Sent sent = f.host.last();
+                f.balancer.onClientGone(f.now, sent.request());
+                f.finish(sent, outcome, 200);
+            }
+            assertTrue(takenAtOnce(f) >= before, "after " + outcome);
+        }
+    }
+
+    /**
+     * Guards against a spread of work that passes for crowding where aims are short: the limit fell to one and
+     * stayed there, and the fronts of a quiet fleet turned most calls away.
+     */
+    @Test
+    void aSpreadOfWorkIsNotTakenForCrowding() {
+        Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(20));
+        int before = atOnceAfter(f, 100, 700, 20);
+        int after = atOnceAfter(f, 100, 700, 60);
+        assertTrue(after >= Math.max(before, 8), before + " calls at once, then " + after);
+        assertTrue(atOnceAfter(f, 950, 60) < 8, "crowding is still seen");
+        assertTrue(atOnceAfter(f, 100, 700, 60) >= 8, "and over when it is");
+    }
+
     /** A call comes every 100 ms; each that is taken is answered in the time given before the next comes. */
     private static int callsTakenInASecond(Fixture f, double tookMs) {
         int before = f.host.sent.size();
@@ -622,6 +655,11 @@
     }
 
     private static int atOnceAfter(Fixture f, double tookMs, int rounds) {
+        return atOnceAfter(f, tookMs, tookMs, rounds);
+    }
+
+    /** The calls taken at once in the last of these rounds; every second answer takes the second time. */
+    private static int atOnceAfter(Fixture f, double tookMs, double otherMs, int rounds) {
         int atOnce = 0;
         for (int round = 0; round < rounds; round++) {
             int before = f.host.sent.size();
@@ -629,8 +667,10 @@
                 f.request(Fixture.REPEATABLE);
             }
             List<Recorder.Sent> out = List.copyOf(f.host.sent.subList(before, f.host.sent.size()));
-            f.now += tookMs;
-            out.forEach(sent -> f.finish(sent, Outcome.OK, tookMs));
+            f.now += Math.max(tookMs, otherMs);
+            for (int i = 0; i < out.size(); i++) {
+                f.finish(out.get(i), Outcome.OK, i % 2 == 0 ? tookMs : otherMs);
+            }
             atOnce = out.size();
         }
         return atOnce;
