A sidecar hung for ever on word that an endpoint is gone which names no zone

The word that an endpoint is gone need name nothing but its id (ServerList.entry), so its zone is none. `Pool.offer` looked for the endpoint's spare slot among those of the zone that it is in now, left it in the index where it was, and `Pool.refill` then took that same slot for ever: its first loop, seen twice by a thread dump of a small program on the landed classes (Pool.java:167). The same where a change names another zone for an endpoint in service. It needs an endpoint whose start is long ago (started_ms 0 or not told) and which was not told as leaving before.

The slot is taken out of both indexes now. The test runs into its limit of 10 s without the change.

--- a/core/src/main/java/lemonrail/core/policy/Pool.java
+++ b/core/src/main/java/lemonrail/core/policy/Pool.java
@@ -126,7 +126,9 @@
     /** Puts the server's lowest slot outside the pool into the index, if it may have one more. */
     void offer(double now, Target target) {
         if (target.spare != null) {
-            sparesOf(target).remove(target.spare);
+            // The list may name another zone by now, or none: a spare left behind would be taken for ever.
+            nearSpares.remove(target.spare);
+            farSpares.remove(target.spare);
             target.spare = null;
         }
         int most = target.onTrial || cold.warmth(now, target) < 1 ? 1 : SLOTS_PER_SERVER;
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -578,6 +580,27 @@
         assertTrue(atOnceAfter(large, 260, 8) >= before, "the same answers leave a larger limit alone");
     }
 
+    /**
+     * Guards against a sidecar that hangs: word that a server is gone may name nothing but its id, and then its
+     * zone is none or another; what the pool keeps by zones must lose the server all the same.
+     */
+    @Test
+    void aServerThatIsGoneLeavesWhateverZoneTheWordNames() {
+        for (State state : List.of(State.GONE, State.DRAINING, State.READY)) {
+            Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+            f.change(new Server("s0", -1, -1, 0, 0, state, 1));
+            assertTimeoutPreemptively(Duration.ofSeconds(10), () -> {
+                for (int i = 0; i < 20; i++) {
+                    f.now += 200;
+                    f.request(Fixture.REPEATABLE);
+                }
+            });
+            assertTrue(f.host.sent.stream().anyMatch(sent -> sent.server().equals("s1")));
+            assertEquals(state == State.READY,
+                f.host.sent.stream().anyMatch(sent -> sent.server().equals("s0")), "" + state);
+        }
+    }
+
     /** Guards against a limit that ends which tell nothing cut again and again after a slow moment. */
     @Test
     void endsThatTellNothingOfCrowdingLeaveTheLimitAlone() {
