Scale run, first form: hollow sidecars, a control stand-in, slopes and storms

The call lemonrail-lab scale control plays a scenario: real sidecars as processes, hollow ones by the real control code, today's registry as control. DiscoveryClient can be closed, which hollow sidecars need.

--- a/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
+++ b/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
@@ -63,6 +63,7 @@
     private long wholeByNs;
     /** Opens the watch anew after a failure. */
     private Future<?> retry;
+    private boolean closed;
 
     /** A client of the discovery at this address, where the list of the known version is from. */
     public DiscoveryClient(EventLoop loop, InetSocketAddress address, ServerList.Names names, long known,
@@ -110,7 +111,7 @@
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
     public void watch() {
-        if (calling) {
+        if (calling || closed) {
             return;
         }
         calling = true;
@@ -136,6 +137,17 @@
         });
     }
 
+    /** Ends the watch for good; whoever asks for one from here on gets none. */
+    public void close() {
+        closed = true;
+        callEnded();
+        dropConnection();
+        if (retry != null) {
+            retry.cancel(false);
+            retry = null;
+        }
+    }
+
     private void ask() {
         int waitMs = version.isPresent() ? pace.waitMs() : 0;
         wholeByNs = 0;
--- a/lab/src/main/java/lemonrail/lab/report/Charts.java
+++ b/lab/src/main/java/lemonrail/lab/report/Charts.java
@@ -92,7 +92,7 @@
     }
 
     /** A group of bars for each column. */
-    void bars(String name, String title, String unit, CategoryDataset bars, boolean stacked)
+    public void bars(String name, String title, String unit, CategoryDataset bars, boolean stacked)
             throws IOException {
         JFreeChart chart = stacked
             ? ChartFactory.createStackedBarChart(title, "", unit, bars, PlotOrientation.VERTICAL, true, false,
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/scale/ControlPlane.java
@@ -0,0 +1,93 @@
+package lemonrail.lab.scale;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What tells sidecars of endpoints: today one registry, or the nodes of a control role. Storms are played
+ * against this; what a way cannot carry it says, and the storm's row says so too. All calls come from one
+ * thread, which is none of the plane's own.
+ */
+public interface ControlPlane extends AutoCloseable {
+
+    /** What a storm may ask for beyond changes. */
+    enum Ability {
+        /** Watchers of a node that is lost go on at another by themselves. */
+        NODE_LOST,
+        /** Regions that are cut go on by themselves, and are merged once they hear each other. */
+        REGIONS_CUT,
+        /** Settings reach sidecars as lists do. */
+        SETTINGS
+    }
+
+    /**
+     * A change that has been taken.
+     *
+     * @param atNanos when, by the monotonic clock
+     * @param versions each list that it changes, and the version from which on it is in
+     */
+    record Applied(long atNanos, Map<String, Long> versions) {
+        /** Whether a sidecar that has this version of a list has the change. */
+        public boolean isIn(String list, long version) {
+            return versions.containsKey(list) && version >= versions.get(list);
+        }
+    }
+
+    /**
+     * What a node has cost since it was last asked.
+     *
+     * @param peakBytesPerS payload both ways, the most within one second
+     */
+    record Cost(double cpuMs, double lagP99Ms, double lagMostMs, long bytes, long peakBytesPerS, long calls) {
+    }
+
+    /** Why it cannot do this, or empty where it can. */
+    Optional<String> missing(Ability ability);
+
+    /** How many nodes there are. */
+    int nodes();
+
+    /**
+     * Where a sidecar watches a list.
+     *
+     * @param node at which it begins
+     * @param group whose traffic is counted apart, as one sidecar's is
+     */
+    InetSocketAddress address(String list, int node, String group);
+
+    /** Takes a list as a whole, from nothing. */
+    void list(String list, List<Line> lines);
+
+    /** Takes changes to several lists at once; those of one list get one version. */
+    Applied apply(Map<String, List<Line>> changes);
+
+    /** What a list has now. */
+    Map<String, Line> lines(String list);
+
+    /** A node's process goes: nobody can reach it until it is back. */
+    void stop(int node);
+
+    /** A node is back, with what it knew or with versions that begin anew. */
+    void start(int node, boolean fromNothing);
+
+    /** Two nodes cannot hear each other from now on, or can again. */
+    void cut(int one, int other, boolean apart);
+
+    /** What a node has cost since it was last asked. */
+    Cost cost(int node);
+
+    /** What this group's connections have carried since they were last asked, over all nodes. */
+    Traffic.Seen traffic(String group);
+
+    /** The version that this group's sidecar has asked on from, which tells that it has taken it in. */
+    List<Heard> heard(String group);
+
+    /** A call that asked on from a version. */
+    record Heard(long atNanos, long version) {
+    }
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
@@ -0,0 +1,120 @@
+package lemonrail.lab.scale;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import lemonrail.lab.host.ChildProcess;
+import lemonrail.lab.host.SidecarHost;
+
+/** A whole sidecar in a process of its own, by the command of service, as the platform starts it. */
+final class RealSidecar implements SidecarHost {
+
+    private final String name;
+    private final ChildProcess child;
+    private final ProcessCost cost;
+    private final InetSocketAddress listen;
+    private final Path file;
+    private final Path log;
+
+    private RealSidecar(String name, ChildProcess child, InetSocketAddress listen, Path file, Path log) {
+        this.name = name;
+        this.child = child;
+        cost = new ProcessCost(child.process().pid());
+        this.listen = listen;
+        this.file = file;
+        this.log = log;
+    }
+
+    /**
+     * Starts one, which may not be ready yet.
+     *
+     * @param home the checkout, in which the command is run
+     * @param balancers how many watch the same list, which is what it paces its calls by
+     */
+    static RealSidecar start(String name, Path home, Path scratch, int balancers, InetSocketAddress control,
+            List<String> zones) throws IOException {
+        InetSocketAddress listen = SidecarHost.freePort();
+        Path folder = Files.createDirectories(scratch.resolve(name));
+        Path file = PlatformConfig.write(folder.resolve("config.json"), name, listen, control, balancers,
+            zones);
+        Path log = folder.resolve("log");
+        ProcessBuilder builder = new ProcessBuilder(command(home)).directory(home.toFile())
+            .redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().remove("GW_MGMT");
+        return new RealSidecar(name, new ChildProcess(builder.start()), listen, file, log);
+    }
+
+    private static List<String> command(Path home) throws IOException {
+        String run = new TomlMapper().readTree(home.resolve("deploy/balancer.toml").toFile()).get("run")
+            .asText();
+        List<String> words = new ArrayList<>(List.of(run.replaceFirst("^exec ", "").split(" ")));
+        if (words.get(0).equals("java")) {
+            words.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        }
+        return words;
+    }
+
+    String name() {
+        return name;
+    }
+
+    @Override
+    public InetSocketAddress address() {
+        return listen;
+    }
+
+    @Override
+    public double cpuMs() {
+        try {
+            return cost.cpuMs();
+        } catch (IOException e) {
+            return Double.NaN;
+        }
+    }
+
+    @Override
+    public double residentMb() throws IOException {
+        return cost.residentMb();
+    }
+
+    double proportionalMb() throws IOException {
+        return cost.proportionalMb();
+    }
+
+    @Override
+    public boolean hasCrashed() {
+        return !child.process().isAlive();
+    }
+
+    /** Writes its settings anew and has them read again; how long it took until it said so, in ms. */
+    double reload(long mostMs) throws IOException, InterruptedException {
+        long before = reloads();
+        Files.writeString(file, Files.readString(file) + "\n");
+        long began = System.nanoTime();
+        new ProcessBuilder("kill", "-HUP", "" + child.process().pid()).start().waitFor();
+        while (reloads() == before) {
+            if (System.nanoTime() - began > TimeUnit.MILLISECONDS.toNanos(mostMs)) {
+                return Double.NaN;
+            }
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        return (System.nanoTime() - began) / 1e6;
+    }
+
+    private long reloads() throws IOException {
+        return Files.readAllLines(log).stream().filter(line -> line.contains("configuration read again"))
+            .count();
+    }
+
+    @Override
+    public void close() {
+        child.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
@@ -0,0 +1,168 @@
+package lemonrail.lab.scale;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import lemonrail.config.EdgeConfig;
+
+/** Measures what control costs a sidecar and a control node, point by point. */
+final class SlopeRun {
+
+    /** Endpoints that the watchers list where it is the control node that is measured. */
+    private static final int SHORT_LIST = 10;
+    private static final String SHORT = "short";
+
+    private final ScaleScenario scenario;
+    private final Path home;
+    private final Path scratch;
+    private final EdgeConfig config;
+    private final PrintWriter words;
+    private final List<Point> points = new ArrayList<>();
+
+    SlopeRun(ScaleScenario scenario, Path home, Path scratch, EdgeConfig config, PrintWriter words) {
+        this.scenario = scenario;
+        this.home = home;
+        this.scratch = scratch;
+        this.config = config;
+        this.words = words;
+    }
+
+    List<Point> run() throws IOException, InterruptedException {
+        sidecars();
+        control();
+        return points;
+    }
+
+    /** A change of an endpoint: it leaves, and at the next change comes back as a new process. */
+    private static Map<String, List<Line>> change(Map<String, List<Line>> lists, long number) {
+        Map<String, List<Line>> changes = new LinkedHashMap<>();
+        lists.forEach((list, lines) -> {
+            Line line = lines.get((int) (number / 2 % lines.size()));
+            changes.put(list, List.of(number % 2 == 0 ? line.with(Line.State.TERMINATING)
+                : line.started(1_000_000 + number)));
+        });
+        return changes;
+    }
+
+    private void sidecars() throws IOException, InterruptedException {
+        ScaleScenario.Slopes slopes = scenario.slopes();
+        Map<Integer, List<RealSidecar>> real = new TreeMap<>();
+        Map<String, List<Line>> lists = new LinkedHashMap<>();
+        try (ControlPlane plane = new RegistryPlane()) {
+            try {
+                for (int listed : slopes.listed()) {
+                    Site site = new Site(listed, 1, 1, scenario.site().zones(), scenario.site().rack());
+                    String list = "listed-" + listed;
+                    lists.put(list, site.lines());
+                    plane.list(list, site.lines());
+                    for (int i = 0; i < slopes.perSize(); i++) {
+                        String name = list + "-" + i;
+                        real.computeIfAbsent(listed, k -> new ArrayList<>()).add(RealSidecar.start(name, home,
+                            scratch, scenario.site().endpoints(), plane.address(list, 0, name),
+                            scenario.site().zoneNames()));
+                    }
+                }
+                for (List<RealSidecar> group : real.values()) {
+                    for (RealSidecar sidecar : group) {
+                        sidecar.awaitReady();
+                    }
+                }
+                double heat = slopes.changes().get(slopes.changes().size() - 1);
+                words.printf(Locale.ROOT, "slopes: %d real sidecars, warming up by %.0f changes a second%n",
+                    real.values().stream().mapToInt(List::size).sum(), heat);
+                words.flush();
+                Churn.run(plane, heat, slopes.heatMs(), number -> change(lists, number), new ArrayList<>());
+                for (double rate : slopes.changes()) {
+                    point(plane, real, lists, rate);
+                }
+            } finally {
+                real.values().forEach(group -> group.forEach(RealSidecar::close));
+            }
+        }
+    }
+
+    private record Before(double cpuMs, long atNanos) {
+    }
+
+    private void point(ControlPlane plane, Map<Integer, List<RealSidecar>> real,
+            Map<String, List<Line>> lists, double rate) throws IOException, InterruptedException {
+        Churn.run(plane, rate, scenario.slopes().warmUpMs(), number -> change(lists, number),
+            new ArrayList<>());
+        Map<RealSidecar, Before> before = new LinkedHashMap<>();
+        for (List<RealSidecar> group : real.values()) {
+            for (RealSidecar sidecar : group) {
+                plane.traffic(sidecar.name());
+                before.put(sidecar, new Before(sidecar.cpuMs(), System.nanoTime()));
+            }
+        }
+        plane.cost(0);
+        Churn.run(plane, rate, scenario.slopes().windowMs(), number -> change(lists, number),
+            new ArrayList<>());
+        ControlPlane.Cost cost = plane.cost(0);
+        String why = Bottleneck.why(scenario.slopes().windowMs(), cost, 0, 0, scenario.targets().inForceMs());
+        for (Map.Entry<Integer, List<RealSidecar>> group : real.entrySet()) {
+            double percent = 0;
+            double bytes = 0;
+            double resident = 0;
+            double proportional = 0;
+            int count = group.getValue().size();
+            for (RealSidecar sidecar : group.getValue()) {
+                double ms = (System.nanoTime() - before.get(sidecar).atNanos) / 1e6;
+                percent += 100 * (sidecar.cpuMs() - before.get(sidecar).cpuMs) / ms / count;
+                bytes += plane.traffic(sidecar.name()).bytes() / ms * 1000 / count;
+                resident += sidecar.residentMb() / count;
+                proportional += sidecar.proportionalMb() / count;
+            }
+            add(new Point(Point.What.SIDECAR, group.getKey(), 0, rate, percent, bytes, resident, proportional,
+                cost.lagP99Ms(), 0, !why.isEmpty()));
+        }
+    }
+
+    private void control() throws InterruptedException {
+        Map<String, List<Line>> lists = Map.of(SHORT, new Site(SHORT_LIST, 1, 1, 1, 1).lines());
+        try (ControlPlane plane = new RegistryPlane();
+                HollowFleet fleet = new HollowFleet(scenario.sidecars().loops(), config,
+                    scenario.sidecars().seed())) {
+            plane.list(SHORT, lists.get(SHORT));
+            int running = 0;
+            for (int watchers : scenario.slopes().watchers()) {
+                fleet.start(IntStream.range(running, watchers).boxed().toList(), number -> SHORT,
+                    number -> plane.address(SHORT, 0, "hollow"));
+                running = watchers;
+                for (double rate : scenario.slopes().changes()) {
+                    Churn.run(plane, rate, scenario.slopes().warmUpMs(), number -> change(lists, number),
+                        new ArrayList<>());
+                    plane.cost(0);
+                    fleet.load();
+                    long began = System.nanoTime();
+                    Churn.run(plane, rate, scenario.slopes().windowMs(), number -> change(lists, number),
+                        new ArrayList<>());
+                    double ms = (System.nanoTime() - began) / 1e6;
+                    ControlPlane.Cost cost = plane.cost(0);
+                    HollowFleet.Load load = fleet.load();
+                    boolean isVoid = !Bottleneck.why(ms, cost, load.lagP99Ms(), load.mostCpuMs(),
+                        scenario.targets().inForceMs()).isEmpty();
+                    add(new Point(Point.What.CONTROL, SHORT_LIST, watchers, rate, 100 * cost.cpuMs() / ms,
+                        cost.bytes() / ms * 1000, Double.NaN, Double.NaN, cost.lagP99Ms(), load.lagP99Ms(),
+                        isVoid));
+                    add(new Point(Point.What.HOLLOW, SHORT_LIST, watchers, rate,
+                        100 * load.cpuMs() / ms / watchers, cost.bytes() / ms * 1000 / watchers, Double.NaN,
+                        Double.NaN, cost.lagP99Ms(), load.lagP99Ms(), isVoid));
+                }
+            }
+        }
+    }
+
+    private void add(Point point) {
+        points.add(point);
+        words.println("slopes: " + point.csv());
+        words.flush();
+    }
+}
