--- a/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
@@ -24,7 +24,8 @@
         "2:the call or the file is no good"})
 public final class ScaleControlCall implements Callable<Integer> {
 
-    @Parameters(arity = "0..1", paramLabel = "SCENARIO", description = "a file like lab/scenarios/scale.toml, "
+    @Parameters(arity = "0..1", paramLabel = "SCENARIO", description = "a file like "
+        + "lab/scenarios/scale.toml, "
         + "which is played where none is given")
     private Path file;
 
@@ -39,9 +40,11 @@
     public Integer call() throws IOException, InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         Path home = Path.of(System.getProperty("lemonrail.home", ".")).toAbsolutePath().normalize();
-        ScaleScenario scenario = ScaleFile.read(file == null ? home.resolve("lab/scenarios/scale.toml") : file);
+        ScaleScenario scenario = ScaleFile.read(file == null ? home.resolve("lab/scenarios/scale.toml")
+            : file);
         try (Interrupts interrupts = new Interrupts(); Scratch scratch = new Scratch()) {
-            ScaleResults results = ScaleRun.play(scenario, Program.ofService(home), scratch.path(), Runner.version(),
+            ScaleResults results = ScaleRun.play(scenario, Program.ofService(home), scratch.path(),
+                Runner.version(),
                 RegistryPlane::new, out);
             Path folder = kept.resolve(scenario.name());
             results.keep(folder);
--- a/lab/src/main/java/lemonrail/lab/scale/HollowFleet.java
+++ b/lab/src/main/java/lemonrail/lab/scale/HollowFleet.java
@@ -47,7 +47,8 @@
     }
 
     /** Starts the sidecars of these numbers at once. */
-    void start(Collection<Integer> numbers, IntFunction<String> list, IntFunction<InetSocketAddress> control) {
+    void start(Collection<Integer> numbers, IntFunction<String> list,
+        IntFunction<InetSocketAddress> control) {
         Map<Integer, Future<HollowSidecar>> starting = new TreeMap<>();
         for (int number : numbers) {
             EventLoop loop = loops.get(number % loops.size());
--- a/lab/src/main/java/lemonrail/lab/scale/HollowSidecar.java
+++ b/lab/src/main/java/lemonrail/lab/scale/HollowSidecar.java
@@ -106,7 +106,8 @@
         return suspensions.listed() == lines.size() && endpoints.size() == lines.size()
             && shown.size() == lines.size() && shown.stream().allMatch(server -> {
                 Line line = lines.get(server.id());
-                return server.state() == (line.state() == Line.State.IN_SERVICE ? State.READY : State.DRAINING)
+                return server.state() == (line.state() == Line.State.IN_SERVICE ? State.READY
+                    : State.DRAINING)
                     && server.startedMs() == line.startedMs() && server.weight() == line.weight();
             });
     }
--- a/lab/src/main/java/lemonrail/lab/scale/ProcessCost.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ProcessCost.java
@@ -10,9 +10,9 @@
 import java.util.stream.Stream;
 
 /**
- * What a process costs, read from outside. The system tells processor time of a process in ticks of 10 ms, and
- * of each thread to the nanosecond; a thread that has ended is remembered as it was last seen. The larger of
- * both sums is within a few ms of the truth and never falls.
+ * What a process costs, read from outside. The system tells processor time of a process in ticks of 10 ms,
+ * and of each thread to the nanosecond; a thread that has ended is remembered as it was last seen. The larger
+ * of both sums is within a few ms of the truth and never falls.
  */
 final class ProcessCost {
 
--- a/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
@@ -33,7 +33,8 @@
      *
      * @param balancers how many watch the same list, which is what it paces its calls by
      */
-    static RealSidecar start(String name, Program program, Path scratch, int balancers, InetSocketAddress control,
+    static RealSidecar start(String name, Program program, Path scratch, int balancers,
+        InetSocketAddress control,
             List<String> zones) throws IOException {
         InetSocketAddress listen = SidecarHost.freePort();
         Path folder = Files.createDirectories(scratch.resolve(name));
--- a/lab/src/main/java/lemonrail/lab/scale/RegistryNode.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RegistryNode.java
@@ -153,7 +153,8 @@
             int start = body.length();
             answered.forEach(line -> body.append(body.length() == start ? "" : ",").append(line.json()));
             byte[] bytes = body.append("]}").toString().getBytes(StandardCharsets.UTF_8);
-            byte[] head = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length
+            byte[] head = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                + bytes.length
                 + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
             return Unpooled.directBuffer(head.length + bytes.length).writeBytes(head).writeBytes(bytes);
         }
--- a/lab/src/main/java/lemonrail/lab/scale/Slope.java
+++ b/lab/src/main/java/lemonrail/lab/scale/Slope.java
@@ -34,7 +34,8 @@
         List<Integer> sizes = points.stream().filter(point -> point.what() == Point.What.SIDECAR)
             .map(Point::listed).distinct().sorted().toList();
         for (int listed : sizes) {
-            Slope slope = add(slopes, points, "sidecar processor time at " + listed + " listed", "changes a second",
+            Slope slope = add(slopes, points, "sidecar processor time at " + listed + " listed",
+                "changes a second",
                 "ms a change; intercept ms a second", point -> point.what() == Point.What.SIDECAR
                     && point.listed() == listed, Point::changesPerS,
                 point -> point.corePercent() * MS_A_PERCENT);
--- a/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
@@ -66,7 +66,8 @@
                     plane.list(list, site.lines());
                     for (int i = 0; i < slopes.perSize(); i++) {
                         String name = list + "-" + i;
-                        real.computeIfAbsent(listed, k -> new ArrayList<>()).add(RealSidecar.start(name, program,
+                        real.computeIfAbsent(listed, k -> new ArrayList<>()).add(RealSidecar.start(name,
+                            program,
                             scratch, scenario.site().endpoints(), plane.address(list, 0, name),
                             scenario.site().zoneNames()));
                     }
--- a/lab/src/main/java/lemonrail/lab/scale/StormRow.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRow.java
@@ -49,7 +49,8 @@
     /** As a line of CSV. */
     public String csv() {
         return name() + "," + storm.listed().name().toLowerCase(Locale.ROOT) + "," + sidecars + "," + changes
-            + "," + plain(lengthMs) + "," + pairs + "," + never + "," + plain(p50Ms) + "," + plain(p99Ms) + ","
+            + "," + plain(lengthMs) + "," + pairs + "," + never + "," + plain(p50Ms) + "," + plain(p99Ms)
+                + ","
             + plain(mostMs) + "," + plain(slowestP50Ms) + "," + plain(realMostMs) + "," + knowing + ","
             + hollow + "," + wholeLists + "," + plain(controlCpuPercent) + "," + plain(controlBytesPerS) + ","
             + controlPeakBytesPerS + "," + plain(hollowCpuMs) + "," + plain(realCpuPercent) + ","
