--- a/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
@@ -31,7 +31,7 @@
             scenario.site().endpoints(), scenario.site().zoneNames());
         EdgeConfig config = ConfigSource.of(file, Map.of("TMPDIR", scratch.toString())).load().config();
         List<Point> points = scenario.slopes() == null ? List.of()
-            : new SlopeRun(scenario, program, scratch, config, words).run();
+            : new SlopeRun(scenario, program, scratch, config, words, planes).run();
         StormRun storms = new StormRun(scenario, program, scratch, config, words, planes);
         List<StormRow> rows = scenario.storms().isEmpty() ? List.of() : storms.run();
         return new ScaleResults(scenario, version, (System.nanoTime() - began) / 1e6, points, rows,
--- a/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import lemonrail.config.EdgeConfig;
 
@@ -26,9 +27,12 @@
     private final Path scratch;
     private final EdgeConfig config;
     private final PrintWriter words;
+    private final Supplier<ControlPlane> planes;
     private final List<Point> points = new ArrayList<>();
 
-    SlopeRun(ScaleScenario scenario, Program program, Path scratch, EdgeConfig config, PrintWriter words) {
+    SlopeRun(ScaleScenario scenario, Program program, Path scratch, EdgeConfig config, PrintWriter words,
+            Supplier<ControlPlane> planes) {
+        this.planes = planes;
         this.scenario = scenario;
         this.program = program;
         this.scratch = scratch;
@@ -53,11 +57,16 @@
         return changes;
     }
 
+    private static void pour(ControlPlane plane, Map<String, List<Line>> lists, double perSecond,
+            double lengthMs) throws InterruptedException {
+        Churn.run(perSecond, lengthMs, number -> plane.apply(0, change(lists, number)));
+    }
+
     private void sidecars() throws IOException, InterruptedException {
         ScaleScenario.Slopes slopes = scenario.slopes();
         Map<Integer, List<RealSidecar>> real = new TreeMap<>();
         Map<String, List<Line>> lists = new LinkedHashMap<>();
-        try (ControlPlane plane = new RegistryPlane()) {
+        try (ControlPlane plane = planes.get()) {
             try {
                 for (int listed : slopes.listed()) {
                     Site site = new Site(listed, 1, 1, scenario.site().zones(), scenario.site().rack());
@@ -80,7 +89,7 @@
                 words.printf(Locale.ROOT, "slopes: %d real sidecars, warming up by %.0f changes a second%n",
                     real.values().stream().mapToInt(List::size).sum(), heat);
                 words.flush();
-                Churn.run(heat, slopes.heatMs(), number -> plane.apply(0, change(lists, number)));
+                pour(plane, lists, heat, slopes.heatMs());
                 for (double rate : slopes.changes()) {
                     point(plane, real, lists, rate);
                 }
@@ -95,7 +104,7 @@
 
     private void point(ControlPlane plane, Map<Integer, List<RealSidecar>> real,
             Map<String, List<Line>> lists, double rate) throws IOException, InterruptedException {
-        Churn.run(rate, scenario.slopes().warmUpMs(), number -> plane.apply(0, change(lists, number)));
+        pour(plane, lists, rate, scenario.slopes().warmUpMs());
         Map<RealSidecar, Before> before = new LinkedHashMap<>();
         for (List<RealSidecar> group : real.values()) {
             for (RealSidecar sidecar : group) {
@@ -106,7 +115,7 @@
         plane.cost(0);
         double windowMs = rate == 0 ? Math.max(LEAST_IDLE_MS, scenario.slopes().windowMs())
             : scenario.slopes().windowMs();
-        Churn.run(rate, windowMs, number -> plane.apply(0, change(lists, number)));
+        pour(plane, lists, rate, windowMs);
         ControlPlane.Cost cost = plane.cost(0);
         String why = Bottleneck.why(windowMs, cost, 0, 0, scenario.targets().inForceMs());
         for (Map.Entry<Integer, List<RealSidecar>> group : real.entrySet()) {
@@ -129,7 +138,7 @@
 
     private void control() throws InterruptedException {
         Map<String, List<Line>> lists = Map.of(SHORT, new Site(SHORT_LIST, 1, 1, 1, 1).lines());
-        try (ControlPlane plane = new RegistryPlane();
+        try (ControlPlane plane = planes.get();
                 HollowFleet fleet = new HollowFleet(scenario.sidecars().loops(), config,
                     scenario.sidecars().seed())) {
             plane.list(SHORT, lists.get(SHORT));
@@ -139,11 +148,11 @@
                     number -> 0);
                 running = watchers;
                 for (double rate : scenario.slopes().changes()) {
-                    Churn.run(rate, scenario.slopes().warmUpMs(), number -> plane.apply(0, change(lists, number)));
+                    pour(plane, lists, rate, scenario.slopes().warmUpMs());
                     plane.cost(0);
                     fleet.load();
                     long began = System.nanoTime();
-                    Churn.run(rate, scenario.slopes().windowMs(), number -> plane.apply(0, change(lists, number)));
+                    pour(plane, lists, rate, scenario.slopes().windowMs());
                     double ms = (System.nanoTime() - began) / 1e6;
                     ControlPlane.Cost cost = plane.cost(0);
                     HollowFleet.Load load = fleet.load();
--- a/lab/src/main/java/lemonrail/lab/scale/StormRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRun.java
@@ -26,6 +26,7 @@
     /** Processor time and bytes are judged over this time at least, and those of a day over a day. */
     private static final double JUDGED_MS = 60_000;
     private static final double DAY_MS = 86_400_000;
+    private static final double CHANGES_A_DAY = 1200;
     /** Changes before the first storm. */
     private static final double HEAT_PER_S = 20;
     private static final double S_MS = 1000;
@@ -67,7 +68,8 @@
 
     List<StormRow> run() throws IOException, InterruptedException {
         for (Listed listed : Listed.values()) {
-            List<Storm> storms = scenario.storms().stream().filter(storm -> storm.listed() == listed).toList();
+            List<Storm> storms = scenario.storms().stream()
+                .filter(storm -> storm.listed() == listed).toList();
             if (!storms.isEmpty()) {
                 try (Fleet opened = new Fleet(scenario, listed, planes.get(), config)) {
                     fleet = opened;
@@ -304,7 +306,8 @@
             verdict = StormRow.Verdict.VOID;
             if (note.isEmpty()) {
                 note = missed(all, reals, knowing < hollow, spent.over(
-                    storm.kind() == ScaleScenario.Kind.DAY ? DAY_MS : JUDGED_MS, quiet));
+                    storm.kind() == ScaleScenario.Kind.DAY ? DAY_MS * storm.changes() / CHANGES_A_DAY
+                        : JUDGED_MS, quiet));
                 verdict = note.isEmpty() ? StormRow.Verdict.MET : StormRow.Verdict.MISSED;
             }
         }
