Scale run: a control plane that carries settings is asked how long they took

Settings are none of the lists, so the plane tells how long each sidecar took. Today's way has none and the row still says so.

--- a/lab/src/main/java/lemonrail/lab/scale/ControlPlane.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ControlPlane.java
@@ -101,6 +101,14 @@
     /** Takes changes to several lists at once, at a node; those of one list get one version. */
     Applied apply(int node, Map<String, List<Line>> changes);
 
+    /**
+     * Changes settings at a node; how long it took until they were in force at each sidecar, in ms, NaN where
+     * they were not within the time given.
+     */
+    default List<Double> settings(int node, double mostMs) throws InterruptedException {
+        throw new IllegalStateException("settings don't come by this way");
+    }
+
     /** A node's process goes: nobody can reach it until it is back. */
     void stop(int node);
 
--- a/lab/src/main/java/lemonrail/lab/scale/StormRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRun.java
@@ -46,6 +46,8 @@
     private final List<StormRow> rows = new ArrayList<>();
     private final List<String> changeLines = new ArrayList<>();
     private final List<Fleet.Change> changes = new ArrayList<>();
+    /** How long settings took until they were in force at each sidecar. */
+    private List<Double> settingsMs = List.of();
     private Fleet fleet;
     /** A real sidecar's cost while nothing happens. */
     private Fleet.Spent quiet;
@@ -109,6 +111,7 @@
     private void play(Storm storm) throws IOException, InterruptedException {
         Churn.rest(QUIET_MS);
         changes.clear();
+        settingsMs = List.of();
         long wholeLists = fleet.hollow().wholeLists();
         Fleet.Began began = fleet.begin();
         String notCarried = happen(storm);
@@ -251,7 +254,8 @@
     private String settings() throws IOException, InterruptedException {
         Optional<String> missing = fleet.plane().missing(ControlPlane.Ability.SETTINGS);
         if (missing.isEmpty()) {
-            return "the run cannot change settings by control yet";
+            settingsMs = fleet.plane().settings(0, MOST_WAIT_MS);
+            return "";
         }
         double most = 0;
         for (RealSidecar sidecar : fleet.real()) {
@@ -290,6 +294,7 @@
         fleet.hear();
         InForce all = new InForce();
         InForce reals = new InForce();
+        all.add(settingsMs);
         for (Fleet.Change change : changes) {
             all.add(fleet.hollowMs(change));
             reals.add(fleet.realMs(change));
