Scale run: a test that a change which is told to nobody is seen

A control that forgets one endpoint's changes: the storm is missed, each sidecar counts as never having it, and none has control's list in the end.

--- a/lab/src/main/java/lemonrail/lab/scale/StormRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRun.java
@@ -17,8 +17,8 @@
 /** Plays storms, one after another, on fleets that are told of all endpoints or of one service's. */
 final class StormRun {
 
-    /** How long a change is waited for beyond the time in which it must be in force. */
-    private static final double MOST_WAIT_MS = 20_000;
+    /** A change is waited for so many times as long as it may take until it is in force. */
+    private static final double WAIT_TIMES = 7;
     private static final double LOOK_MS = 50;
     /** Before a storm all is quiet for so long; after the last is in force costs still count for so long. */
     private static final double QUIET_MS = 700;
@@ -48,6 +48,7 @@
     private final List<Fleet.Change> changes = new ArrayList<>();
     /** How long settings took until they were in force at each sidecar. */
     private List<Double> settingsMs = List.of();
+    private final double mostWaitMs;
     private Fleet fleet;
     /** A real sidecar's cost while nothing happens. */
     private Fleet.Spent quiet;
@@ -61,6 +62,7 @@
         this.config = config;
         this.words = words;
         this.planes = planes;
+        mostWaitMs = WAIT_TIMES * scenario.targets().inForceMs();
     }
 
     /** Each change of each storm, as lines of CSV. */
@@ -90,7 +92,7 @@
         say("storms: %d hollow and %d real sidecars stand, each told of %s", fleet.hollow().sidecars().size(),
             fleet.real().size(), word(listed));
         pour(HEAT_PER_S, scenario.sidecars().warmUpMs());
-        fleet.awaitKnowing(MOST_WAIT_MS);
+        fleet.awaitKnowing(mostWaitMs);
         Churn.rest(QUIET_MS);
         Fleet.Began idle = fleet.begin();
         Churn.rest(scenario.sidecars().idleMs());
@@ -254,12 +256,12 @@
     private String settings() throws IOException, InterruptedException {
         Optional<String> missing = fleet.plane().missing(ControlPlane.Ability.SETTINGS);
         if (missing.isEmpty()) {
-            settingsMs = fleet.plane().settings(0, MOST_WAIT_MS);
+            settingsMs = fleet.plane().settings(0, mostWaitMs);
             return "";
         }
         double most = 0;
         for (RealSidecar sidecar : fleet.real()) {
-            most = Math.max(most, sidecar.reload((long) MOST_WAIT_MS));
+            most = Math.max(most, sidecar.reload((long) mostWaitMs));
         }
         return missing.get() + String.format(Locale.ROOT, "; %d real ones were told by hand, one after "
             + "another, and said so after %.0f ms at most", fleet.real().size(), most);
@@ -269,8 +271,8 @@
 
     /** Waits until all have all, or long enough. */
     private void settle() throws InterruptedException {
-        long until = System.nanoTime() + (long) (MOST_WAIT_MS * 1e6);
-        fleet.awaitKnowing(MOST_WAIT_MS);
+        long until = System.nanoTime() + (long) (mostWaitMs * 1e6);
+        fleet.awaitKnowing(mostWaitMs);
         int done = 0;
         while (done < changes.size() && System.nanoTime() < until) {
             fleet.hear();
--- a/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
@@ -1,13 +1,21 @@
 package lemonrail.lab.scale;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import lemonrail.config.EdgeConfig;
+import lemonrail.logging.EventLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -46,4 +54,100 @@
         assertEquals(1 + results.rows().size(), Files.readAllLines(kept.resolve("storms.csv")).size());
         assertTrue(Files.exists(kept.resolve("in-force.svg")));
     }
+
+    /** A control that tells one endpoint's changes to nobody. */
+    private static final class Forgetful implements ControlPlane {
+        private final RegistryPlane registry = new RegistryPlane();
+        private final String forgotten;
+
+        Forgetful(String forgotten) {
+            this.forgotten = forgotten;
+        }
+
+        @Override
+        public Optional<String> missing(Ability ability) {
+            return registry.missing(ability);
+        }
+
+        @Override
+        public int nodes() {
+            return registry.nodes();
+        }
+
+        @Override
+        public Watch watch(EventLoop loop, EdgeConfig config, EventLog log, long seed, String list,
+                int node) {
+            return registry.watch(loop, config, log, seed, list, node);
+        }
+
+        @Override
+        public Path file(Place place, String list, int node, String group) throws IOException {
+            return registry.file(place, list, node, group);
+        }
+
+        @Override
+        public void list(String list, List<Line> lines) {
+            registry.list(list, lines);
+        }
+
+        @Override
+        public Applied apply(int node, Map<String, List<Line>> changes) {
+            Map<String, List<Line>> told = new HashMap<>();
+            changes.forEach((list, lines) -> told.put(list, lines.stream()
+                .filter(line -> !line.id().equals(forgotten)).toList()));
+            return registry.apply(node, told);
+        }
+
+        @Override
+        public void stop(int node) {
+            registry.stop(node);
+        }
+
+        @Override
+        public void start(int node, boolean fromNothing) {
+            registry.start(node, fromNothing);
+        }
+
+        @Override
+        public void cut(int one, int other, boolean apart) {
+            registry.cut(one, other, apart);
+        }
+
+        @Override
+        public Cost cost(int node) {
+            return registry.cost(node);
+        }
+
+        @Override
+        public Traffic.Seen traffic(String group) {
+            return registry.traffic(group);
+        }
+
+        @Override
+        public List<Heard> heard(String group) {
+            return registry.heard(group);
+        }
+
+        @Override
+        public void close() {
+            registry.close();
+        }
+    }
+
+    @Test
+    void aChangeThatIsNotToldIsSeen() throws Exception {
+        Site site = new Site(12, 2, 2, 2, 3);
+        Path file = Files.writeString(folder.resolve("forgetful.toml"), "about = \"a control that forgets\"");
+        ScaleScenario scenario = new ScaleScenario("forgetful", file, "a control that forgets", site,
+            new ScaleScenario.Sidecars(0, 2, 1, 0, 100), new ScaleScenario.Targets(300, 50, 32, 15), null,
+            List.of(new ScaleScenario.Storm(ScaleScenario.Kind.CHANGE, ScaleScenario.Listed.ALL, 2, 200)));
+        ScaleResults results = ScaleRun.play(scenario, new Program(List.of("none"), folder), folder, "test",
+            () -> new Forgetful(site.line(7).id()), new PrintWriter(new StringWriter()));
+        StormRow row = results.rows().get(0);
+        assertEquals(site.endpoints(), row.never(), "the second change, of endpoint 7, reached nobody");
+        assertEquals(0, row.knowing(), row.toString());
+        assertTrue(row.verdict() == StormRow.Verdict.MISSED || row.verdict() == StormRow.Verdict.VOID,
+            row.toString());
+        assertFalse(results.passes());
+    }
 }
