--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -112,6 +112,11 @@
         return isAnswered() && (!ending || guard.hasSaid()) && !channel.hasUnread();
     }
 
+    /** Whether nothing has happened on it since then. */
+    boolean isStillSince(double time) {
+        return Math.max(quietSince, guard.heardAt()) <= time;
+    }
+
     /** Whether bytes have come that are not read yet. */
     boolean hasUnread() {
         return channel.hasUnread();
--- a/edge/src/main/java/lemonrail/http1/ClientGuard.java
+++ b/edge/src/main/java/lemonrail/http1/ClientGuard.java
@@ -66,10 +66,13 @@
     private boolean inBody;
     private long bodyBytes;
     private double pausedAt = -1;
+    /** When something last came. */
+    private double heardAt;
 
     ClientGuard(AcceptedSocket channel, Clock clock) {
         this.channel = channel;
         this.clock = clock;
+        heardAt = clock.now();
     }
 
     @Override
@@ -133,6 +136,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         int size = ((ByteBuf) bytes).readableBytes();
+        heardAt = clock.now();
         if (deaf) {
             unheard += size;
             ((ByteBuf) bytes).release();
@@ -248,6 +252,11 @@
         stopClock();
     }
 
+    /** When something last came, or the connection itself. */
+    double heardAt() {
+        return heardAt;
+    }
+
     /** Whether a part of a request has come. */
     boolean isReading() {
         return begun;
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -10,9 +10,11 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import lemonrail.core.Contract.Request;
 import lemonrail.exchange.Exchange;
@@ -169,13 +171,13 @@
     }
 
     /**
-     * Makes room for a new connection, if there is none; first those go that never asked for anything. On
-     * none of them may a request have come that is not read yet, or an answer be left to write.
+     * Makes room for a new connection, if there is none; first those go that never asked for anything, and of
+     * these who has been still for a while: one that has just come is about to ask. On none of them may a
+     * request have come that is not read yet, or an answer be left to write.
      */
     private boolean makeRoom() {
         while (connections.size() > most) {
-            ClientConnection gone = first(ClientConnection::isFree);
-            gone = gone == null ? first(ClientConnection::isIdle) : gone;
+            ClientConnection gone = leastNeeded();
             if (gone == null) {
                 return false;
             }
@@ -187,8 +189,20 @@
         return true;
     }
 
-    private ClientConnection first(Predicate<ClientConnection> which) {
-        return Stream.concat(expendable.stream(), idle.stream()).filter(which).findFirst().orElse(null);
+    /** Which connection goes first, the oldest of its kind; null where each is needed. */
+    private ClientConnection leastNeeded() {
+        double settled = clock.now() - QUIET_MS;
+        return Stream.<Supplier<ClientConnection>>of(
+            () -> first(expendable, connection -> connection.isStillSince(settled) && connection.isFree()),
+            () -> first(expendable, connection -> connection.isStillSince(settled) && connection.isIdle()),
+            () -> first(expendable, ClientConnection::isIdle),
+            () -> first(idle, ClientConnection::isFree),
+            () -> first(idle, ClientConnection::isIdle))
+            .map(Supplier::get).filter(Objects::nonNull).findFirst().orElse(null);
+    }
+
+    private static ClientConnection first(Set<ClientConnection> of, Predicate<ClientConnection> which) {
+        return of.stream().filter(which).findFirst().orElse(null);
     }
 
     private void mindAccepting() {
--- a/edge/src/test/java/lemonrail/assembly/CrossingsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/CrossingsTest.java
@@ -92,6 +92,23 @@
         assertEquals(200, newcomer.send(rig.request("read", DEADLINE_MS)).read().status());
     }
 
+    /** Guards against newcomers that make room for one another, as others hold half a request each. */
+    @Test
+    void whoHasJustComeDoesNotMakeRoom() throws Exception {
+        rig = new Rig(Fake.answering(200, "", "served"));
+        rig.sockets = 1;
+        rig.start();
+        for (int i = 0; i < ROOM; i++) {
+            client().send("GET /api HT");
+        }
+        rig.settle();
+        Wire newcomer = client();
+        clients.get(0).awaitEnd();
+        client();
+        clients.get(1).awaitEnd();
+        assertEquals(200, newcomer.send(rig.request("order", DEADLINE_MS)).read().status());
+    }
+
     /** Guards against a refusal that its client never gets: where nobody can make room, it is whole. */
     @Test
     void whoFindsNoRoomIsRefusedInGoodOrder() throws Exception {
--- a/edge/src/test/java/lemonrail/assembly/Fake.java
+++ b/edge/src/test/java/lemonrail/assembly/Fake.java
@@ -31,18 +31,23 @@
     private final Thread accepting;
 
     Fake(Script script) throws IOException {
-        this(script, null);
+        this(script, null, 0);
     }
 
     /** A server that reads by itself, and counts no requests. */
     Fake(Reader reader) throws IOException {
-        this(null, reader);
+        this(null, reader, 0);
     }
 
-    private Fake(Script script, Reader reader) throws IOException {
+    /** One at a port that has been found to be free. */
+    Fake(Script script, int port) throws IOException {
+        this(script, null, port);
+    }
+
+    private Fake(Script script, Reader reader, int port) throws IOException {
         this.script = script;
         this.reader = reader;
-        listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        listener = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
         accepting = start(this::accept);
     }
 
