--- a/core/src/main/java/lemonrail/core/Ring.java
+++ b/core/src/main/java/lemonrail/core/Ring.java
@@ -13,6 +13,10 @@
     /** Any large odd number: its powers put the members of each ring into another order. */
     private static final long MIX = 0x9E3779B1L;
 
+    /** What is summed up of a group: the weights of all members, and of those before. */
+    private static final int ALL = 0;
+    private static final int BEFORE = 1;
+
     private Ring() {
     }
 
@@ -31,16 +35,21 @@
      */
     public static <T> void place(List<T> inOrder, ToIntFunction<T> group, ToDoubleFunction<T> weight,
             ObjDoubleConsumer<T> told) {
-        Map<Integer, Double> weights = new HashMap<>();
+        Map<Integer, double[]> groups = new HashMap<>();
+        double[][] groupOf = new double[inOrder.size()][];
+        double[] weights = new double[inOrder.size()];
+        int at = 0;
         for (T member : inOrder) {
-            weights.merge(group.applyAsInt(member), weight.applyAsDouble(member), Double::sum);
+            groupOf[at] = groups.computeIfAbsent(group.applyAsInt(member), number -> new double[2]);
+            weights[at] = weight.applyAsDouble(member);
+            groupOf[at][ALL] += weights[at];
+            at++;
         }
-        Map<Integer, Double> before = new HashMap<>();
+        at = 0;
         for (T member : inOrder) {
-            int of = group.applyAsInt(member);
-            double upTo = before.getOrDefault(of, 0.0);
-            told.accept(member, 1 - upTo / weights.get(of));
-            before.put(of, upTo + weight.applyAsDouble(member));
+            told.accept(member, 1 - groupOf[at][BEFORE] / groupOf[at][ALL]);
+            groupOf[at][BEFORE] += weights[at];
+            at++;
         }
     }
 }
--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -1,7 +1,6 @@
 // The decision module. The types, events and actions it deals in are declared in Contract.java.
 package lemonrail.core.policy;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,6 +20,8 @@
 
     /** The operators get a line on trouble at most once in this time. */
     private static final double REPORT_MS = 10_000;
+    /** The most servers placed anew for each change of the list, however fast changes come. */
+    private static final int SETTLED_A_CHANGE = 32;
     /** Name of the timer for the next request for the list. */
     private static final long ASK_TIMER = 1;
 
@@ -29,7 +30,6 @@
     private final SplittableRandom random;
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
-    private final List<Target> known = new ArrayList<>();
     private final AnswerTimes[] learned;
     private final boolean anyRepeatable;
     private final Ranks ranks;
@@ -39,7 +39,10 @@
     private final Health health;
     private final Limit limit;
     private final Retries retries;
+    /** The pause between refills: by it, too, ranks may lag behind the list. */
+    private final double pauseMs;
     private double nextRefill;
+    private double nextSettle;
     private double nextReport;
     private int askFailures;
 
@@ -47,6 +50,7 @@
     public Decide(Settings settings, long seed, Actions host) {
         this.settings = settings;
         this.host = host;
+        pauseMs = settings.limits().connectTimeoutMs() / 2;
         this.random = new SplittableRandom(seed);
         learned = settings.classes().stream().map(AnswerTimes::new).toArray(AnswerTimes[]::new);
         anyRepeatable = settings.classes().stream().anyMatch(kind -> kind.effect() != Effect.ONCE);
@@ -89,8 +93,8 @@
 
     /** How many servers that discovery calls ready are left out for what they did; it changes nothing. */
     public int avoided(double now) {
-        return (int) known.stream().filter(target -> target.onTrial
-            || target.held == 0 && now < target.pausedUntil).count();
+        return (int) targets.values().stream().filter(target -> target.ready && (target.onTrial
+            || target.held == 0 && now < target.pausedUntil)).count();
     }
 
     @Override
@@ -262,8 +266,8 @@
         if (now < nextRefill) {
             return;
         }
-        double pauseMs = settings.limits().connectTimeoutMs() / 2;
         nextRefill = now + pauseMs;
+        settle(now);
         locality.tick(now, pauseMs);
         report(now);
         health.tick(now);
@@ -272,6 +276,15 @@
         pool.refill(now, limit.fadingPeak());
     }
 
+    /** Gives the ready servers their places and slots their ranks, if the list has changed any. */
+    private void settle(double now) {
+        if (ranks.unsettled > 0) {
+            ranks.settle();
+            pool.settle(now);
+            nextSettle = now + pauseMs;
+        }
+    }
+
     /** Tells the operators what the last while was like, if there was anything to tell. */
     private void report(double now) {
         if (now < nextReport) {
@@ -303,11 +316,11 @@
                 .forEach(target -> update(now, target.listed.with(State.GONE)));
         }
         entries.forEach(entry -> update(now, entry));
-        known.clear();
-        targets.values().stream().filter(target -> target.listed.state() == State.READY).forEach(known::add);
-        ranks.settle(known);
+        // In a storm the next refill pause does it, once for many: it costs as the list, not as the change.
+        if (now >= nextSettle || ranks.unsettled * SETTLED_A_CHANGE >= ranks.ready) {
+            settle(now);
+        }
         limit.resize(cold.able(now));
-        pool.settle(now, known);
     }
 
     private void update(double now, Server entry) {
@@ -329,7 +342,7 @@
             // Back from a drain, as by an operator's word: what it did before counts no more.
             health.heal(target);
         }
-        target.listed = entry;
+        ranks.list(target, entry);
         cold.watch(now, target);
         if (entry.state() != State.READY) {
             pool.dropAll(target);
@@ -346,6 +359,7 @@
 
     /** From here on the server is none of this balancer's; ends of calls there only free what they held. */
     private void forget(double now, Target target) {
+        ranks.list(target, target.listed.with(State.GONE));
         health.heal(target);
         target.forgotten = true;
         pool.offer(now, target);
--- a/core/src/main/java/lemonrail/core/policy/Pool.java
+++ b/core/src/main/java/lemonrail/core/policy/Pool.java
@@ -1,8 +1,8 @@
 package lemonrail.core.policy;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 import lemonrail.core.Contract.*;
 
@@ -30,9 +30,9 @@
     private final Locality locality;
     private final Actions host;
     private final List<Slot> slots = new ArrayList<>();
-    /** The slots next outside it, one a server at most: the own zone's and all others. */
-    private final TreeSet<Slot> nearSpares = new TreeSet<>();
-    private final TreeSet<Slot> farSpares = new TreeSet<>();
+    /** The slots next outside it in order, one a server at most: the own zone's and all others. */
+    private final List<Slot> nearSpares = new ArrayList<>();
+    private final List<Slot> farSpares = new ArrayList<>();
     /** The recent share of failures among calls that had to open a connection. */
     private double connectFailing;
 
@@ -56,13 +56,13 @@
             : lower(first(nearSpares, usable), first(farSpares, usable));
     }
 
-    private static Slot first(TreeSet<Slot> spares, Predicate<Slot> usable) {
+    private static Slot first(List<Slot> spares, Predicate<Slot> usable) {
         return spares.stream().filter(usable).findFirst().orElse(null);
     }
 
     private Slot firstSpare() {
-        return lower(nearSpares.isEmpty() ? null : nearSpares.first(),
-            farSpares.isEmpty() ? null : farSpares.first());
+        return lower(nearSpares.isEmpty() ? null : nearSpares.get(0),
+            farSpares.isEmpty() ? null : farSpares.get(0));
     }
 
     private Slot lower(Slot a, Slot b) {
@@ -90,16 +90,11 @@
         return slots.stream().anyMatch(s -> s != slot && s.target == slot.target && s.connected);
     }
 
-    private TreeSet<Slot> sparesOf(Target target) {
-        return ranks.isFar(target) ? farSpares : nearSpares;
-    }
-
     /** Takes a spare slot into the pool and offers the server's next; others are there already. */
     void adopt(double now, Slot slot) {
         Target target = slot.target;
         if (target.spare == slot) {
-            sparesOf(target).remove(slot);
-            target.spare = null;
+            withdraw(target);
             target.held |= 1L << slot.number;
             slots.add(slot);
             offer(now, target);
@@ -125,21 +120,24 @@
 
     /** Puts the server's lowest slot outside the pool into the index, if it may have one more. */
     void offer(double now, Target target) {
-        if (target.spare != null) {
-            // The list may name another zone by now, or none: a spare left behind would be taken for ever.
-            nearSpares.remove(target.spare);
-            farSpares.remove(target.spare);
-            target.spare = null;
-        }
+        withdraw(target);
         int most = target.onTrial || cold.warmth(now, target) < 1 ? 1 : SLOTS_PER_SERVER;
-        if (target.forgotten || target.listed.state() != State.READY || now < target.pausedUntil
+        if (target.forgotten || !target.ready || Double.isNaN(target.place) || now < target.pausedUntil
                 || Long.bitCount(target.held) >= most || target.onTrial && target.inFlight > 0) {
             return;
         }
         Slot slot = new Slot(target, Long.numberOfTrailingZeros(~target.held));
         slot.rank = ranks.rank(slot);
         target.spare = slot;
-        sparesOf(target).add(slot);
+        slot.spares = ranks.isFar(target) ? farSpares : nearSpares;
+        slot.spares.add(-1 - Collections.binarySearch(slot.spares, slot), slot);
+    }
+
+    private static void withdraw(Target target) {
+        if (target.spare != null) {
+            target.spare.spares.remove(Collections.binarySearch(target.spare.spares, target.spare));
+            target.spare = null;
+        }
     }
 
     /** Moves a server's slots up or down by what it can do: slow, small or cold ones get fewer calls. */
@@ -155,10 +153,15 @@
         offer(now, target);
     }
 
-    /** Works all ranks out anew after a change of the list, and offers each ready server's next slot. */
-    void settle(double now, List<Target> known) {
-        slots.forEach(slot -> slot.rank = ranks.rank(slot));
-        known.forEach(target -> offer(now, target));
+    /** Works all ranks out anew once places are settled, and offers each ready server's next slot. */
+    void settle(double now) {
+        for (List<Slot> moved : List.of(slots, nearSpares, farSpares)) {
+            moved.forEach(slot -> slot.rank = ranks.rank(slot));
+        }
+        // Their order changes little, which the sort makes use of.
+        nearSpares.sort(null);
+        farSpares.sort(null);
+        ranks.ring.stream().filter(target -> target.spare == null).forEach(target -> offer(now, target));
     }
 
     /** Refills toward lower ranks, up to what the recent peak of calls at once calls for. */
--- a/core/src/main/java/lemonrail/core/policy/Ranks.java
+++ b/core/src/main/java/lemonrail/core/policy/Ranks.java
@@ -1,8 +1,9 @@
 package lemonrail.core.policy;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import lemonrail.core.Contract.Settings;
+import lemonrail.core.Contract.*;
 import lemonrail.core.Ring;
 
 /** The ranks of slots, by the design's formula, and the servers' places on the ring that it rests on. */
@@ -12,8 +13,12 @@
     private static final double STEP_BACK = 0.5;
 
     private final Settings settings;
+    /** The ready servers and those that were so when places were last settled, in order as of then. */
+    final List<Target> ring = new ArrayList<>();
     private double meanWeight = 1;
-    /** Servers that discovery calls ready, in all and in the own zone. */
+    /** Changes of the list since then that move places. */
+    int unsettled;
+    /** Servers that discovery calls ready; those of the own zone, as of when places were settled. */
     int ready;
     int readyInZone;
 
@@ -21,18 +26,42 @@
         this.settings = settings;
     }
 
-    /** Takes in the ready servers, and gives each its place. */
-    void settle(List<Target> known) {
-        ready = known.size();
+    /** Takes in what discovery says of a server: who is ready counts at once, places wait to be settled. */
+    void list(Target target, Server entry) {
+        boolean isReady = entry.state() == State.READY;
+        if (target.ready != isReady || isReady && (entry.weight() != target.listed.weight()
+                || entry.zone() != target.listed.zone())) {
+            unsettled++;
+        }
+        ready += (isReady ? 1 : 0) - (target.ready ? 1 : 0);
+        target.listed = entry;
+        target.ready = isReady;
+        target.place = isReady ? target.place : Double.NaN;
+        if (isReady && !target.onRing) {
+            target.onRing = true;
+            ring.add(target);
+        }
+    }
+
+    /** Gives each ready server its place. */
+    void settle() {
+        unsettled = 0;
         readyInZone = 0;
+        ring.forEach(target -> target.onRing = target.ready);
+        ring.removeIf(target -> !target.ready);
+        // Several rings where balancers outnumber servers: who leaves a full one must not crowd the next.
+        int number = settings.ownNumber()
+            % Integer.highestOneBit(Math.max(1, settings.balancers() / Math.max(1, ready)));
         double weights = 0;
-        for (Target target : known) {
+        for (Target target : ring) {
             readyInZone += isFar(target) ? 0 : 1;
             weights += target.listed.weight();
+            target.ringOrder = Ring.order(target.hash, number);
         }
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
-        known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
-        Ring.place(known, target -> target.listed.zone(), this::relativeWeight,
+        // Nearly in order since the last time, which the sort makes use of.
+        ring.sort(Comparator.comparingLong((Target target) -> target.ringOrder).thenComparing(t -> t.id));
+        Ring.place(ring, target -> target.listed.zone(), this::relativeWeight,
             (target, place) -> target.place = settings.balancers() * place);
     }
 
@@ -56,10 +85,4 @@
     boolean isFar(Target target) {
         return target.listed.zone() != settings.ownZone();
     }
-
-    /** Several rings where balancers outnumber servers: who leaves a full one must not crowd the next. */
-    private long ringOrder(Target target) {
-        int rings = Integer.highestOneBit(Math.max(1, settings.balancers() / Math.max(1, ready)));
-        return Ring.order(target.hash, settings.ownNumber() % rings);
-    }
 }
--- a/core/src/main/java/lemonrail/core/policy/Slot.java
+++ b/core/src/main/java/lemonrail/core/policy/Slot.java
@@ -1,5 +1,7 @@
 package lemonrail.core.policy;
 
+import java.util.List;
+
 /** A slot: the right to have one call at a time at one server. */
 final class Slot implements Comparable<Slot> {
 
@@ -10,6 +12,8 @@
     boolean busy;
     /** A call was answered on it and none was lost since: a connection for it stands open. */
     boolean connected;
+    /** The slots outside the pool that it is among. */
+    List<Slot> spares;
     /** Its call's answer is being passed on: the server's work is done, only the connection is taken. */
     boolean streaming;
     /** Left the pool while a call was still out on it. */
--- a/core/src/main/java/lemonrail/core/policy/Target.java
+++ b/core/src/main/java/lemonrail/core/policy/Target.java
@@ -34,8 +34,12 @@
     int trialAnswers;
     double slowness = 1;
     double cost = 1;
-    /** Its place on the ring of balancers, the same at every balancer that has the same list. */
-    double place;
+    /** Whether it is listed as ready, and on the ring, as it has been so since places were last settled. */
+    boolean ready;
+    boolean onRing;
+    long ringOrder;
+    /** Its place there, the same at every balancer that has the same list; NaN while it has none. */
+    double place = Double.NaN;
 
     Target(Server listed) {
         this.id = listed.id();
--- /dev/null
+++ b/core/src/test/java/lemonrail/core/policy/ListChangeCost.java
@@ -0,0 +1,95 @@
+package lemonrail.core.policy;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+
+/**
+ * What a change of the list costs a decider, in microseconds of processor time, by how many servers are
+ * listed and how fast changes come; a table by {@link #main}. Each change is one entry: a server leaves or
+ * comes back. Ten calls a second go on meanwhile, without which nothing would be put in order.
+ */
+public final class ListChangeCost {
+
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
+    private static final int[] LISTED = {10, 100, 1000, 5000};
+    private static final int WARM_UP = 3000;
+    private static final int CHANGES = 2000;
+    private static final double CALL_EVERY_MS = 100;
+
+    private ListChangeCost() {
+    }
+
+    /** Prints the table of one run. */
+    public static void main(String[] args) {
+        System.out.println("listed  us/change at 1/s  at 20/s  at 500/s  us of a list of all");
+        for (int listed : LISTED) {
+            System.out.printf(Locale.ROOT, "%6d %17.1f %8.1f %9.1f %20.0f%n", listed, change(listed, 1000),
+                change(listed, 50), change(listed, 2), all(listed));
+        }
+    }
+
+    /** The servers of a fleet in seven zones. */
+    static List<Server> fleet(int listed) {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < listed; i++) {
+            servers.add(new Server("s-" + Integer.toHexString(i * 7919 + 1), i % 7, 0, i % 3, 0, State.READY,
+                1 + i % 2));
+        }
+        return servers;
+    }
+
+    /** Microseconds of processor time for each change of one entry, one every so many milliseconds. */
+    static double change(int listed, double everyMs) {
+        Fixture f = Fixture.of(listed, 3, 0).list(fleet(listed));
+        List<Server> servers = fleet(listed);
+        Random random = new Random(5);
+        double nextCall = 0;
+        double spentNs = 0;
+        for (int i = 0; i < WARM_UP + CHANGES; i++) {
+            f.now += everyMs;
+            int which = random.nextInt(listed);
+            Server was = servers.get(which);
+            Server is = was.with(was.state() == State.READY ? State.DRAINING : State.READY);
+            servers.set(which, is);
+            long before = CPU.getCurrentThreadCpuTime();
+            f.change(is);
+            if (f.now >= nextCall) {
+                call(f);
+                nextCall = f.now + CALL_EVERY_MS;
+            }
+            spentNs += i < WARM_UP ? 0 : CPU.getCurrentThreadCpuTime() - before;
+        }
+        return spentNs / CHANGES / 1000;
+    }
+
+    /** Microseconds of processor time for a whole list in which nothing has changed. */
+    private static double all(int listed) {
+        Fixture f = Fixture.of(listed, 3, 0).list(fleet(listed));
+        List<Server> servers = fleet(listed);
+        double spentNs = 0;
+        int lists = 200;
+        for (int i = 0; i < 2 * lists; i++) {
+            f.now += 1000;
+            long before = CPU.getCurrentThreadCpuTime();
+            f.list(servers);
+            call(f);
+            spentNs += i < lists ? 0 : CPU.getCurrentThreadCpuTime() - before;
+        }
+        return spentNs / lists / 1000;
+    }
+
+    private static void call(Fixture f) {
+        int sent = f.host.sent.size();
+        f.request(Fixture.REPEATABLE);
+        if (f.host.sent.size() > sent) {
+            f.finish(f.host.last(), Outcome.OK, 20);
+        }
+    }
+}
--- a/edge/src/main/java/lemonrail/http1/EndpointPool.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointPool.java
@@ -99,6 +99,8 @@
     private final Budget budget;
     private int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    /** Whose an address is. */
+    private final Map<InetSocketAddress, Endpoint> owners = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private final Future<?> sweeping;
@@ -130,14 +132,14 @@
             list.entries().forEach(entry -> named.add(entry.server().id()));
             for (String id : List.copyOf(endpoints.keySet())) {
                 if (!named.contains(id)) {
-                    retire(endpoints.remove(id));
+                    forget(id);
                 }
             }
         }
         for (ServerList.Entry entry : list.entries()) {
             String id = entry.server().id();
             if (entry.server().state() == State.GONE) {
-                retire(endpoints.remove(id));
+                forget(id);
                 continue;
             }
             Endpoint endpoint = endpoints.computeIfAbsent(id, k -> new Endpoint());
@@ -145,26 +147,40 @@
                     || entry.server().startedMs() != endpoint.startedMs) {
                 retire(endpoint);
             }
-            endpoint.address = entry.address();
             endpoint.startedMs = entry.server().startedMs();
-            settleAddress(endpoint);
+            settleAddress(endpoint, entry.address());
         }
     }
 
-    /** At one address there is one process: what was there before it is not there any more. */
-    private void settleAddress(Endpoint told) {
-        for (Endpoint other : endpoints.values()) {
-            if (other != told && told.address.equals(other.address)) {
-                Endpoint former = told.startedMs < other.startedMs ? told : other;
-                retire(former);
-                former.address = null;
-                if (former == told) {
-                    return;
-                }
-            }
+    private void forget(String id) {
+        Endpoint gone = endpoints.remove(id);
+        if (gone != null) {
+            retire(gone);
+            leaveAddress(gone);
         }
     }
 
+    /** At one address there is one process: what was there before it is not there any more. */
+    private void settleAddress(Endpoint told, InetSocketAddress address) {
+        leaveAddress(told);
+        Endpoint other = owners.get(address);
+        if (other != null && told.startedMs < other.startedMs) {
+            retire(told);
+            return;
+        }
+        if (other != null) {
+            retire(other);
+            leaveAddress(other);
+        }
+        told.address = address;
+        owners.put(address, told);
+    }
+
+    private void leaveAddress(Endpoint leaving) {
+        owners.remove(leaving.address, leaving);
+        leaving.address = null;
+    }
+
     @Override
     public void bound(int connections) {
         most = connections;
@@ -176,10 +192,8 @@
     }
 
     private static void retire(Endpoint endpoint) {
-        if (endpoint != null) {
-            endpoint.generation++;
-            closeAll(endpoint);
-        }
+        endpoint.generation++;
+        closeAll(endpoint);
     }
 
     @Override
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/ListPathCost.java
@@ -0,0 +1,174 @@
+package lemonrail.assembly;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import lemonrail.core.Contract.Effect;
+import lemonrail.core.Contract.Group;
+import lemonrail.core.Contract.Limits;
+import lemonrail.core.Contract.ListKind;
+import lemonrail.core.Contract.RequestClass;
+import lemonrail.core.Contract.Rules;
+import lemonrail.core.Contract.Settings;
+import lemonrail.core.policy.Decide;
+import lemonrail.discovery.ServerList;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Shard;
+import lemonrail.exchange.Upstream;
+import lemonrail.http1.Answer;
+import lemonrail.http1.Http1;
+import lemonrail.http1.RequestMessage;
+import lemonrail.lifecycle.Lifecycle;
+import lemonrail.logging.EventLog;
+import lemonrail.logging.TextSink;
+import lemonrail.metrics.Metrics;
+import lemonrail.streaming.Budget;
+import lemonrail.suspension.Suspensions;
+import lemonrail.time.Clock;
+
+/**
+ * What a change of the list costs a sidecar from its bytes to the decider, in microseconds of processor time
+ * of the event loop, by how many endpoints are listed; a table by {@link #main}. Each change is one entry.
+ * The connection to discovery is left out: what comes on it doesn't depend on how many are listed.
+ */
+public final class ListPathCost {
+
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
+    private static final int[] LISTED = {10, 100, 1000, 5000};
+    private static final int STEADY = 100;
+    private static final int STORM = 1000;
+    private static final ServerList.Names NAMES = new ServerList.Names(
+        List.of("a", "b", "c", "d", "e", "f", "g"), List.of("m"));
+
+    private final EventLoop loop;
+    private final int listed;
+    private final Upstream<RequestMessage, Answer> upstream;
+    private final Suspensions suspensions;
+    private final Exchange<RequestMessage, Answer> exchange;
+    private final String[] states;
+    private final Random random = new Random(5);
+    private int version = 1;
+    private double readNs;
+    private double upstreamNs;
+    private double shownNs;
+
+    private ListPathCost(EventLoop loop, int listed, Path kept) throws IOException {
+        this.loop = loop;
+        this.listed = listed;
+        states = new String[listed];
+        Arrays.fill(states, "in_service");
+        Clock clock = new Clock();
+        EventLog silent = new EventLog(clock, new TextSink(new PrintStream(OutputStream.nullOutputStream())));
+        Shard shard = new Shard(loop, clock, silent, new Metrics(List.of("read")), new Budget(Long.MAX_VALUE),
+            new Lifecycle(() -> true), settings(listed), 15_000);
+        upstream = new Http1().upstream(shard, 64);
+        suspensions = new Suspensions(kept, silent);
+        exchange = new Exchange<>(shard, upstream, suspensions, Decide::new, 1, parse(all()), () -> { });
+    }
+
+    /** Prints the table of one run. */
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("list-path");
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        EventLoop loop = group.next();
+        System.out.println("listed  us/change at 20/s: all  (read, endpoints' pool, suspensions)"
+            + "  all at 500/s  us of a list of all");
+        for (int listed : LISTED) {
+            loop.submit(() -> {
+                ListPathCost path = new ListPathCost(loop, listed, folder.resolve("suspended-" + listed));
+                path.changes(STORM, 0);
+                double storm = path.changes(STORM, 2);
+                double steady = path.changes(STEADY, 50);
+                System.out.printf(Locale.ROOT, "%6d %22.1f  (%.1f, %.1f, %.1f) %25.1f %20.0f%n", listed, steady,
+                    path.readNs / 1000, path.upstreamNs / 1000, path.shownNs / 1000, storm, path.whole());
+                return null;
+            }).sync();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private static Settings settings(int balancers) {
+        return new Settings(balancers, 3, 0, 0, false, true, 0.1, 0,
+            List.of(new RequestClass("read", 1000, 3000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false)),
+            List.of(), new Limits(3, true, true, 2000, 200), new Rules(0.3, 8000, 3, 1000, 1000, 10_000));
+    }
+
+    private String line(int which) {
+        return "{\"id\":\"s-" + Integer.toHexString(which * 7919 + 1) + "\",\"addr\":\"127.0." + which / 250 + "."
+            + (1 + which % 250) + ":9000\",\"zone\":\"" + NAMES.zones().get(which % 7)
+            + "\",\"kind\":\"m\",\"cell\":0,\"state\":\"" + states[which]
+            + "\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    private byte[] list(boolean full, List<String> lines) {
+        return ("{\"version\":" + version++ + ",\"full\":" + full + ",\"servers\":[" + String.join(",", lines)
+            + "]}").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private byte[] all() {
+        List<String> lines = new ArrayList<>();
+        for (int i = 0; i < listed; i++) {
+            lines.add(line(i));
+        }
+        return list(true, lines);
+    }
+
+    private static ServerList parse(byte[] json) throws IOException {
+        return ServerList.parse(json, NAMES);
+    }
+
+    /** Microseconds for each change, the parts of the way left in the fields. */
+    private double changes(int count, long everyMs) throws IOException, InterruptedException {
+        double spentNs = 0;
+        readNs = 0;
+        upstreamNs = 0;
+        shownNs = 0;
+        for (int i = 0; i < count; i++) {
+            Thread.sleep(everyMs);
+            int which = random.nextInt(listed);
+            states[which] = states[which].equals("in_service") ? "terminating" : "in_service";
+            byte[] json = list(false, List.of(line(which)));
+            long began = CPU.getCurrentThreadCpuTime();
+            ServerList change = parse(json);
+            long read = CPU.getCurrentThreadCpuTime();
+            exchange.listed(change);
+            long told = CPU.getCurrentThreadCpuTime();
+            // Once more apart, which changes nothing.
+            upstream.update(change);
+            long updated = CPU.getCurrentThreadCpuTime();
+            suspensions.show(ListKind.DELTA, change.servers());
+            long shown = CPU.getCurrentThreadCpuTime();
+            spentNs += told - began;
+            readNs += (read - began) / (double) count;
+            upstreamNs += (updated - told) / (double) count;
+            shownNs += (shown - updated) / (double) count;
+        }
+        return spentNs / count / 1000;
+    }
+
+    /** Microseconds for a whole list in which nothing has changed. */
+    private double whole() throws IOException {
+        double spentNs = 0;
+        int lists = 20;
+        for (int i = 0; i < 2 * lists; i++) {
+            byte[] json = all();
+            long began = CPU.getCurrentThreadCpuTime();
+            exchange.listed(parse(json));
+            spentNs += i < lists ? 0 : CPU.getCurrentThreadCpuTime() - began;
+        }
+        return spentNs / lists / 1000;
+    }
+}
