--- a/core/src/test/java/lemonrail/core/policy/ListChangeCost.java
+++ b/core/src/test/java/lemonrail/core/policy/ListChangeCost.java
@@ -19,7 +19,6 @@
 
     private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
     private static final int[] LISTED = {10, 100, 1000, 5000};
-    private static final int WARM_UP = 3000;
     private static final int CHANGES = 2000;
     private static final double CALL_EVERY_MS = 100;
 
@@ -30,8 +29,8 @@
     public static void main(String[] args) {
         System.out.println("listed  us/change at 1/s  at 20/s  at 500/s  us of a list of all");
         for (int listed : LISTED) {
-            System.out.printf(Locale.ROOT, "%6d %17.1f %8.1f %9.1f %20.0f%n", listed, change(listed, 1000),
-                change(listed, 50), change(listed, 2), all(listed));
+            System.out.printf(Locale.ROOT, "%6d %17.1f %8.1f %9.1f %20.0f%n", listed, change(listed, 1000, CHANGES),
+                change(listed, 50, CHANGES), change(listed, 2, CHANGES), all(listed));
         }
     }
 
@@ -45,14 +44,17 @@
         return servers;
     }
 
-    /** Microseconds of processor time for each change of one entry, one every so many milliseconds. */
-    static double change(int listed, double everyMs) {
+    /**
+     * Microseconds of processor time for each of so many changes of one entry, after as many that are not
+     * counted, one every so many milliseconds.
+     */
+    static double change(int listed, double everyMs, int changes) {
         Fixture f = Fixture.of(listed, 3, 0).list(fleet(listed));
         List<Server> servers = fleet(listed);
         Random random = new Random(5);
         double nextCall = 0;
         double spentNs = 0;
-        for (int i = 0; i < WARM_UP + CHANGES; i++) {
+        for (int i = 0; i < 2 * changes; i++) {
             f.now += everyMs;
             int which = random.nextInt(listed);
             Server was = servers.get(which);
@@ -64,9 +66,9 @@
                 call(f);
                 nextCall = f.now + CALL_EVERY_MS;
             }
-            spentNs += i < WARM_UP ? 0 : CPU.getCurrentThreadCpuTime() - before;
+            spentNs += i < changes ? 0 : CPU.getCurrentThreadCpuTime() - before;
         }
-        return spentNs / CHANGES / 1000;
+        return spentNs / changes / 1000;
     }
 
     /** Microseconds of processor time for a whole list in which nothing has changed. */
--- /dev/null
+++ b/core/src/test/java/lemonrail/core/policy/ListChangesTest.java
@@ -0,0 +1,168 @@
+package lemonrail.core.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Changes of a long list: what they cost, what is in force at once, and where they lead in the end. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class ListChangesTest {
+
+    private static final int LISTED = 400;
+    /** Half of the connect time-out in the fixture's settings. */
+    private static final double PAUSE_MS = 100;
+    /** A timer that nothing is asked for by: it only lets time be seen to pass. */
+    private static final long NO_TIMER = 99;
+
+    private static List<String> firstServers(Fixture f, int calls) {
+        List<String> servers = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            f.request(Fixture.REPEATABLE);
+            servers.add(f.host.last().server());
+        }
+        return servers;
+    }
+
+    private static Fixture before(int listed) {
+        return Fixture.of(listed, 3, 1).list(ListChangeCost.fleet(listed));
+    }
+
+    /** In the pause after a change, when places are not settled yet. */
+    private static Fixture inAStorm() {
+        Fixture f = before(LISTED);
+        f.now += 1000;
+        f.change(ListChangeCost.fleet(LISTED).get(7).with(State.DRAINING));
+        firstServers(f, 1);
+        f.now += 1;
+        return f;
+    }
+
+    private static Server named(String id) {
+        return ListChangeCost.fleet(LISTED).stream().filter(s -> s.id().equals(id)).findFirst().orElseThrow();
+    }
+
+    /** Guards against a cost of each change that grows with the list (before: 20 times at ten times as many). */
+    @Test
+    void aChangeInAStormCostsNoMoreInALongList() {
+        double least = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < 3; i++) {
+            double few = ListChangeCost.change(500, 0.2, 1000);
+            double many = ListChangeCost.change(5000, 0.2, 1000);
+            least = Math.min(least, many / few);
+        }
+        assertTrue(least < 5, "ten times as many listed cost " + least + " times as much");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void afterAPauseAllIsAsIfTheListHadComeAtOnce(int seed) {
+        Random random = new Random(seed);
+        Map<String, Server> listed = new HashMap<>();
+        ListChangeCost.fleet(LISTED).forEach(server -> listed.put(server.id(), server));
+        Fixture f = before(LISTED);
+        for (int step = 0; step < 300; step++) {
+            f.now += random.nextInt(12);
+            List<Server> changes = new ArrayList<>();
+            for (int i = random.nextInt(random.nextInt(20) == 0 ? 60 : 3); i >= 0; i--) {
+                Server was = named("s-" + Integer.toHexString(random.nextInt(LISTED) * 7919 + 1));
+                changes.add(new Server(was.id(), random.nextInt(7), 0, was.cell(),
+                    random.nextInt(4) == 0 ? f.now - random.nextInt(1000) : 0,
+                    State.values()[random.nextInt(3)], 1 + random.nextInt(3)));
+            }
+            changes.forEach(server -> listed.put(server.id(), server));
+            f.change(changes.toArray(Server[]::new));
+            if (random.nextBoolean()) {
+                f.balancer.onTimer(f.now, NO_TIMER);
+            }
+        }
+        f.now += PAUSE_MS;
+        f.balancer.onTimer(f.now, NO_TIMER);
+        Fixture fresh = Fixture.of(LISTED, 3, 1);
+        fresh.now = f.now;
+        List<Server> left = listed.values().stream().filter(s -> s.state() != State.GONE).toList();
+        fresh.list(left);
+        assertEquals(firstServers(fresh, 250), firstServers(f, 250));
+        assertEquals(left.size(), f.balancer.knownServers());
+    }
+
+    /** What rules rest on doesn't wait for the pause. */
+    @ParameterizedTest
+    @ValueSource(strings = {"DRAINING", "GONE"})
+    void whoLeavesInAStormGetsNothingMoreInTheSameTurn(State state) {
+        Fixture f = inAStorm();
+        Set<String> left = new HashSet<>();
+        for (int i = 0; i < 10; i++) {
+            f.request(Fixture.REPEATABLE);
+            String id = f.host.last().server();
+            assertFalse(left.contains(id), id + " has left");
+            left.add(id);
+            f.change(named(id).with(state));
+        }
+    }
+
+    @Test
+    void whoReturnsOrStartsInAStormServesWithinAPause() {
+        Fixture f = inAStorm();
+        String first = firstServers(f, 1).get(0);
+        f.change(named(first).with(State.DRAINING));
+        f.change(named(first));
+        f.now += PAUSE_MS;
+        assertTrue(firstServers(f, 250).contains(first));
+    }
+
+    /** When all are replaced at once, the new ones are there at once: nothing else is. */
+    @Test
+    void aFleetReplacedInAStormIsServedByItsSuccessors() {
+        Fixture f = inAStorm();
+        List<Server> changes = new ArrayList<>();
+        for (Server server : ListChangeCost.fleet(LISTED)) {
+            changes.add(server.with(State.GONE));
+            changes.add(new Server("n" + server.id(), server.zone(), 0, 0, 0, State.READY, 1));
+        }
+        f.change(changes.toArray(Server[]::new));
+        assertTrue(firstServers(f, 100).stream().allMatch(id -> id.startsWith("n")));
+    }
+
+    /** A few that come while many leave must not have to wait for the pause: those left would be crowded. */
+    @Test
+    void callsAreNotLeftToTheLastOnesWhileSuccessorsWait() {
+        Fixture f = inAStorm();
+        List<Server> fleet = ListChangeCost.fleet(LISTED);
+        for (int i = 2; i < LISTED; i++) {
+            f.change(fleet.get(i).with(State.GONE));
+            f.change(new Server("n" + i, i % 7, 0, 0, 0, State.READY, 1));
+        }
+        assertTrue(new HashSet<>(firstServers(f, 60)).size() > 50);
+    }
+
+    /** Guards against a slot left in the old zone's index, which refilling then took up for ever. */
+    @Test
+    void aServerMayBeToldToBeInAnotherZone() {
+        assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+            Fixture f = Fixture.of(3, 0, 1).list(Fixture.servers(6));
+            for (int i = 0; i < 6; i++) {
+                f.change(new Server("s" + i, 1 + i % 2, 0, 0, 0, State.READY, 1));
+                f.now += PAUSE_MS;
+                assertNotEquals(0, firstServers(f, 3).size());
+            }
+            assertEquals(18, f.host.sent.size());
+        });
+    }
+}
--- a/edge/src/test/java/lemonrail/assembly/ListPathCost.java
+++ b/edge/src/test/java/lemonrail/assembly/ListPathCost.java
@@ -1,6 +1,5 @@
 package lemonrail.assembly;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -41,10 +40,10 @@
 
 /**
  * What a change of the list costs a sidecar from its bytes to the decider, in microseconds of processor time
- * of the event loop, by how many endpoints are listed; a table by {@link #main}. Each change is one entry.
+ * by how many endpoints are listed; a table by {@link #main}. Each change is one entry.
  * The connection to discovery is left out: what comes on it doesn't depend on how many are listed.
  */
-public final class ListPathCost {
+public final class ListPathCost implements AutoCloseable {
 
     private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
     private static final int[] LISTED = {10, 100, 1000, 5000};
@@ -53,7 +52,7 @@
     private static final ServerList.Names NAMES = new ServerList.Names(
         List.of("a", "b", "c", "d", "e", "f", "g"), List.of("m"));
 
-    private final EventLoop loop;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final int listed;
     private final Upstream<RequestMessage, Answer> upstream;
     private final Suspensions suspensions;
@@ -65,15 +64,14 @@
     private double upstreamNs;
     private double shownNs;
 
-    private ListPathCost(EventLoop loop, int listed, Path kept) throws IOException {
-        this.loop = loop;
+    ListPathCost(int listed, Path kept) throws IOException {
         this.listed = listed;
         states = new String[listed];
         Arrays.fill(states, "in_service");
         Clock clock = new Clock();
         EventLog silent = new EventLog(clock, new TextSink(new PrintStream(OutputStream.nullOutputStream())));
-        Shard shard = new Shard(loop, clock, silent, new Metrics(List.of("read")), new Budget(Long.MAX_VALUE),
-            new Lifecycle(() -> true), settings(listed), 15_000);
+        Shard shard = new Shard(group.next(), clock, silent, new Metrics(List.of("read")),
+            new Budget(Long.MAX_VALUE), new Lifecycle(() -> true), settings(listed), 15_000);
         upstream = new Http1().upstream(shard, 64);
         suspensions = new Suspensions(kept, silent);
         exchange = new Exchange<>(shard, upstream, suspensions, Decide::new, 1, parse(all()), () -> { });
@@ -82,22 +80,27 @@
     /** Prints the table of one run. */
     public static void main(String[] args) throws Exception {
         Path folder = Files.createTempDirectory("list-path");
-        NioEventLoopGroup group = new NioEventLoopGroup(1);
-        EventLoop loop = group.next();
         System.out.println("listed  us/change at 20/s: all  (read, endpoints' pool, suspensions)"
             + "  all at 500/s  us of a list of all");
         for (int listed : LISTED) {
-            loop.submit(() -> {
-                ListPathCost path = new ListPathCost(loop, listed, folder.resolve("suspended-" + listed));
+            try (ListPathCost path = new ListPathCost(listed, folder.resolve("suspended-" + listed))) {
                 path.changes(STORM, 0);
                 double storm = path.changes(STORM, 2);
                 double steady = path.changes(STEADY, 50);
                 System.out.printf(Locale.ROOT, "%6d %22.1f  (%.1f, %.1f, %.1f) %25.1f %20.0f%n", listed, steady,
-                    path.readNs / 1000, path.upstreamNs / 1000, path.shownNs / 1000, storm, path.whole());
-                return null;
-            }).sync();
+                    path.readNs / 1000, path.upstreamNs / 1000, path.shownNs / 1000, storm, path.whole(20));
+            }
         }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    /** No connection is ever opened here, so the parts are called from outside their event loop. */
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    int endpoints() {
+        return upstream.size();
     }
 
     private static Settings settings(int balancers) {
@@ -131,7 +134,7 @@
     }
 
     /** Microseconds for each change, the parts of the way left in the fields. */
-    private double changes(int count, long everyMs) throws IOException, InterruptedException {
+    double changes(int count, long everyMs) throws IOException, InterruptedException {
         double spentNs = 0;
         readNs = 0;
         upstreamNs = 0;
@@ -159,10 +162,9 @@
         return spentNs / count / 1000;
     }
 
-    /** Microseconds for a whole list in which nothing has changed. */
-    private double whole() throws IOException {
+    /** Microseconds for each of so many whole lists in which nothing has changed, after as many more. */
+    double whole(int lists) throws IOException {
         double spentNs = 0;
-        int lists = 20;
         for (int i = 0; i < 2 * lists; i++) {
             byte[] json = all();
             long began = CPU.getCurrentThreadCpuTime();
