Tests: a stalled answer is cut between chunks, a connection's last one arrives whole

Two more of the ways in which a begun answer ends, forced by stand-ins: the endpoint stalls within a chunk (10 s, the request's deadline of 1 s is no limit to it), and a chunked answer of 5.4 MB on a connection that its client has called the last, taken 700 ms late by a client with one more request behind it.

--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -25,6 +25,13 @@
     private static final int DEADLINE_MS = 8000;
     private static final int RECEIVE_BYTES = 16 * 1024;
     private static final String ANSWER = "x".repeat(60_000);
+    private static final int SHORT_DEADLINE_MS = 1000;
+    /** For so long nothing of an answer may move. */
+    private static final int STALL_MS = 10_000;
+    private static final int LAST_BYTES = 9_001;
+    private static final int LAST_PARTS = 600;
+    /** Beyond the time for which a connection is still read when its last answer is written. */
+    private static final long PAST_LINGER_MS = 700;
     /** Large enough to fill a connection by itself. */
     private static final String FILLING = "y".repeat(40_000);
     /** More answers than any connection's buffers hold. */
@@ -213,6 +220,42 @@
         assertCutBetweenChunks(client);
     }
 
+    /** The same where the endpoint stalls within a chunk of its own; the deadline is no limit to that. */
+    @Test
+    void anAnswerThatStallsIsCutBetweenChunks() throws Exception {
+        rig = new Rig(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + "x".repeat(0x11000));
+            wire.awaitEnd();
+        })).start();
+        Wire client = slowClient();
+        long began = System.nanoTime();
+        client.send(rig.request("read", SHORT_DEADLINE_MS));
+        assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        assertCutBetweenChunks(client);
+        assertTrue(System.nanoTime() - began > TimeUnit.MILLISECONDS.toNanos(STALL_MS), "at its limit");
+    }
+
+    /** The last answer on a connection arrives whole, though taken late and with more sent behind. */
+    @Test
+    void theLastAnswerOnAConnectionIsWhole() throws Exception {
+        String body = "x".repeat(LAST_BYTES);
+        rig = new Rig(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = 0; i < LAST_PARTS; i++) {
+                wire.send(Integer.toHexString(LAST_BYTES) + "\r\n" + body + "\r\n");
+            }
+            wire.send("0\r\n\r\n");
+        })).start();
+        Wire client = slowClient();
+        client.send(rig.request("read", DEADLINE_MS).replace("Host:", "Connection: close\r\nHost:")
+            + rig.request("order", DEADLINE_MS));
+        TimeUnit.MILLISECONDS.sleep(PAST_LINGER_MS);
+        Wire.Message answer = client.read();
+        assertEquals("close", answer.headers().get("connection"));
+        assertEquals(LAST_BYTES * LAST_PARTS, answer.bytes().length);
+        assertEquals(-1, client.in.read());
+    }
+
     /** Reads whole chunks to the connection's end, of which none is the last one. */
     private static void assertCutBetweenChunks(Wire client) throws IOException {
         StringBuilder line = new StringBuilder();
