--- a/edge/src/test/java/lemonrail/assembly/Served.java
+++ b/edge/src/test/java/lemonrail/assembly/Served.java
@@ -26,6 +26,13 @@
 
     /** Starts it with these flags of the JVM, and waits until it serves. */
     static Served start(Path config, Path folder, String... flags) throws IOException, InterruptedException {
+        Served served = launch(config, folder, flags);
+        served.awaitLine(SERVING);
+        return served;
+    }
+
+    /** Starts it with these flags of the JVM. */
+    static Served launch(Path config, Path folder, String... flags) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("-XX:TieredStopAtLevel=1");
@@ -34,9 +41,11 @@
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
-        Served served = new Served(builder.redirectErrorStream(true).start());
-        served.awaitLine(SERVING);
-        return served;
+        return new Served(builder.redirectErrorStream(true).start());
+    }
+
+    boolean serves() {
+        return said(SERVING);
     }
 
     void awaitLine(String part) throws InterruptedException {
