A live watch isn't given up while the loop is busy, as with warming up at a start

Seen (README, Open): at a start the first watch was given up once though it was alive. Cause: after a long turn of reading, which the warm-up's requests are, Netty's loop runs the timers that are due before it reads again; so a call's limit went off with its answer waiting in the socket. Ruled out: a long task leads to reading first (a test with one passed on the old code).

Change: at a limit's end the loop gets 10 ms more, and with them a turn of reading, before the call has failed. The same limit now serves for the connection, in place of Netty's own connect time-out, which would go off alike (that part has no test of its own: on loopback a connection is up before the loop looks again).

Seen to fail on the code of before: two connections in place of one, and "discovery failed".

--- a/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
+++ b/edge/src/main/java/lemonrail/discovery/DiscoveryClient.java
@@ -39,6 +39,8 @@
 public final class DiscoveryClient {
 
     private static final int MOST_BODY = 4 * 1024 * 1024;
+    /** A busy loop may have read nothing for longer than a limit: at its end it gets so long to do it. */
+    private static final int READ_FIRST_MS = 10;
 
     /** What comes of the watch. */
     public interface Listener {
@@ -57,7 +59,7 @@
     private Channel channel;
     /** A call is on its way, though it may still wait for its connection. */
     private boolean calling;
-    /** Ends a call that has been written and gets no answer, or not the rest of it. */
+    /** Ends a call that gets no connection, or no answer, or not the rest of it. */
     private Future<?> limit;
     /** When an answer that has begun must be whole, by {@link System#nanoTime}; 0 before it begins. */
     private long wholeByNs;
@@ -77,7 +79,7 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, WatchPace.silenceMs())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel fresh) {
@@ -123,6 +125,7 @@
             ask();
             return;
         }
+        limit("no connection in time", WatchPace.silenceMs());
         ChannelFuture connecting = bootstrap.connect(address);
         channel = connecting.channel();
         connecting.addListener(connected -> {
@@ -161,7 +164,12 @@
     }
 
     private void limit(String why, int ms) {
-        limit = loop.schedule(() -> fail(why), ms, TimeUnit.MILLISECONDS);
+        if (limit != null) {
+            limit.cancel(false);
+        }
+        limit = loop.schedule(() -> {
+            limit = loop.schedule(() -> fail(why), READ_FIRST_MS, TimeUnit.MILLISECONDS);
+        }, ms, TimeUnit.MILLISECONDS);
     }
 
     private void fail(Object why) {
@@ -201,7 +209,6 @@
                 if (wholeByNs == 0) {
                     wholeByNs = now + TimeUnit.MILLISECONDS.toNanos(WatchPace.answerMs());
                 }
-                limit.cancel(false);
                 limit("no whole answer in time", (int) Math.min(WatchPace.silenceMs(),
                     TimeUnit.NANOSECONDS.toMillis(wholeByNs - now)));
             }
--- a/edge/src/test/java/lemonrail/assembly/WatchTest.java
+++ b/edge/src/test/java/lemonrail/assembly/WatchTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,6 +17,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.UnaryOperator;
+import lemonrail.core.Contract.Events;
+import lemonrail.core.Decider;
+import lemonrail.core.policy.Decide;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -33,6 +37,8 @@
     /** Calls that fail one after another, and the least pause between two. */
     private static final int CALLS = 30;
     private static final double LEAST_PAUSE_MS = 50;
+    /** Longer than an answer is awaited by a rig whose calls wait for 1 s. */
+    private static final int BUSY_MS = 1800;
     /** Between two pieces of an answer: each comes before the silence would be a failure. */
     private static final int PIECE_MS = 100;
     /** So long a connection is tried until the listener's queue counts as full. */
@@ -295,4 +301,56 @@
             assertFalse(rig.logged().contains("discovery failed"), rig.logged());
         }
     }
+
+    // ---- while the loop is busy, as at a start ----
+
+    /** A decider that keeps the loop busy over its first request, as the warm-up does: while it reads. */
+    private static Decider busyUntil(CountDownLatch busy, CountDownLatch release) {
+        return (settings, seed, host) -> {
+            Events decide = new Decide(settings, seed, host);
+            Class<?>[] kinds = {Events.class};
+            return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), kinds,
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("onRequest")) {
+                        busy.countDown();
+                        release.await();
+                    }
+                    return method.invoke(decide, arguments);
+                });
+        };
+    }
+
+    private static void awaitPassed(long sinceNs, int ms) throws InterruptedException {
+        Rig.await("time", () -> System.nanoTime() - sinceNs > ms * 1_000_000L);
+    }
+
+    /** Guards against an answer that has come in time, and is given up as nobody had read it. */
+    @Test
+    void anAnswerIsTakenThoughTheLoopWasBusyBeyondItsTime() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        rig.discovery.script = (wire, request) -> {
+            if (rig.discovery.requests.size() > 1) {
+                rig.discovery.script = (next, later) -> next.awaitEnd();
+                answer.await();
+                Fake.answer(wire, 200, "", news(7));
+            } else {
+                Fake.answer(wire, 200, "", news(6));
+            }
+        };
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        rig.start(busyUntil(busy, release));
+        Rig.await("it waits", () -> rig.discovery.requests.size() == 2);
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS));
+            busy.await();
+            answer.countDown();
+            awaitPassed(System.nanoTime(), BUSY_MS);
+            release.countDown();
+            Rig.await("the list is there", () -> rig.discovery.requests.size() == 3);
+            assertEquals(200, client.read().status());
+        }
+        assertEquals(1, rig.discovery.connections.get());
+        assertFalse(rig.logged().contains("discovery failed"), rig.logged());
+    }
 }
