--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -581,8 +581,8 @@
     }
 
     /**
-     * Guards against a sidecar that hangs: word that a server is gone may name nothing but its id, and then its
-     * zone is none or another; what the pool keeps by zones must lose the server all the same.
+     * Guards against a sidecar that hangs: word that a server is gone may name nothing but its id, and then
+     * its zone is none or another; what the pool keeps by zones must lose the server all the same.
      */
     @Test
     void aServerThatIsGoneLeavesWhateverZoneTheWordNames() {
@@ -604,7 +604,8 @@
     /** Guards against a limit that ends which tell nothing cut again and again after a slow moment. */
     @Test
     void endsThatTellNothingOfCrowdingLeaveTheLimitAlone() {
-        for (Outcome outcome : List.of(Outcome.CANCELED, Outcome.CONNECT_ERROR, Outcome.RESET, Outcome.FAILED)) {
+        for (Outcome outcome : List.of(Outcome.CANCELED, Outcome.CONNECT_ERROR, Outcome.RESET,
+                Outcome.FAILED)) {
             Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(20));
             atOnceAfter(f, 100, 20);
             atOnceAfter(f, 900, 2);
@@ -621,8 +622,8 @@
     }
 
     /**
-     * Guards against a spread of work that passes for crowding where aims are short: the limit fell to one and
-     * stayed there, and the fronts of a quiet fleet turned most calls away.
+     * Guards against a spread of work that passes for crowding where aims are short: the limit fell to one
+     * and stayed there, and the fronts of a quiet fleet turned most calls away.
      */
     @Test
     void aSpreadOfWorkIsNotTakenForCrowding() {
