--- a/edge/src/test/java/lemonrail/http1/PipeWriterTest.java
+++ b/edge/src/test/java/lemonrail/http1/PipeWriterTest.java
@@ -104,7 +104,8 @@
         for (boolean answer : new boolean[] {true, false}) {
             endings.clear();
             writer = null;
-            EmbeddedChannel channel = connection(answer ? new HttpResponseEncoder() : new HttpRequestEncoder());
+            EmbeddedChannel channel =
+                connection(answer ? new HttpResponseEncoder() : new HttpRequestEncoder());
             channel.writeOutbound(chunked(answer
                 ? new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
                 : new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api")));
