--- /dev/null
+++ b/core/src/test/java/lemonrail/core/policy/SpareZoneTest.java
@@ -0,0 +1,57 @@
+package lemonrail.core.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Contract.Server;
+import lemonrail.core.Contract.State;
+import org.junit.jupiter.api.Test;
+
+/** Servers whose zone is told otherwise than before: of one that is gone it need not be told at all. */
+class SpareZoneTest {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+    private static Server in(String id, int zone, State state) {
+        return new Server(id, zone, 0, 0, 0, state, 1);
+    }
+
+    /** Calls come and go for long enough that the pool is refilled many times. */
+    private static Set<String> serve(Fixture f) {
+        int before = f.host.sent.size();
+        assertTimeoutPreemptively(PATIENCE, () -> {
+            for (int i = 0; i < 50; i++) {
+                f.now += 150;
+                f.request(Fixture.REPEATABLE);
+                f.finish(f.host.last(), Outcome.OK, 10);
+            }
+        }, "a loop without an end");
+        return f.host.sent.subList(before, f.host.sent.size()).stream().map(Recorder.Sent::server)
+            .collect(Collectors.toSet());
+    }
+
+    /** Guards against a spare slot that is looked for in another zone than it was put in. */
+    @Test
+    void aServerThatIsGoneLeavesNothingBehindWhateverItsZone() {
+        Fixture f = Fixture.of(1, 0, 0).list(List.of(in("s0", 0, State.READY), in("s1", 0, State.READY)));
+        serve(f);
+        f.change(in("s0", -1, State.GONE));
+        assertEquals(Set.of("s1"), serve(f));
+    }
+
+    @Test
+    void aServerMayMoveToAnotherZone() {
+        Fixture f = Fixture.of(1, 0, 0).list(List.of(in("s0", 0, State.READY), in("s1", 0, State.READY)));
+        serve(f);
+        f.change(in("s0", 1, State.READY));
+        serve(f);
+        f.change(in("s0", 0, State.READY));
+        f.change(in("s1", 1, State.DRAINING));
+        assertEquals(Set.of("s0"), serve(f));
+    }
+}
