--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -298,9 +298,9 @@
         return item == null ? "" : item.stamp().text();
     }
 
-    /** The id of the thread that all its work is done by, to measure what it costs. */
-    public long threadId() {
-        return asked(() -> Thread.currentThread().getId());
+    /** The loop that all its work is done on, to measure what it costs. */
+    public EventLoop loop() {
+        return loop;
     }
 
     Item item(String topic, String id) {
