Control: nodes that were all down tell each other what they kept

Where all nodes were down each waited 2 s for another that was ready: the lesser part of the 3 s in which changes must be in force was left. A node that has kept its state now tells other nodes, not sidecars, before it is ready. nodesThatWereAllDownBeginFromWhatTheyHaveKeptTogether failed before ('they need not wait') and passes.

--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -58,6 +58,7 @@
     private final OperatorsDoor door;
     private boolean unkept;
     private long keptAt;
+    private boolean hasKept;
     /** Up to when its knowledge goes where no other node was heard since the start. */
     private long knownAt;
     private Map<String, Object> watching;
@@ -110,6 +111,7 @@
         long at = file.read(state, nowMs());
         if (at >= 0) {
             knownAt = at;
+            hasKept = true;
             log.info("kept_state", "what was kept has " + state.sizes().get(0) + " items and is "
                 + (nowMs() - at) / 1000 + " s old");
             if (config.peers().isEmpty()) {
@@ -454,6 +456,11 @@
             return head;
         }
 
+        @Override
+        public boolean tellsPeers() {
+            return hasKept;
+        }
+
         @Override
         public boolean isCut(String peer) {
             return cut.contains(peer);
--- a/edge/src/main/java/lemonrail/control/WatchServer.java
+++ b/edge/src/main/java/lemonrail/control/WatchServer.java
@@ -71,6 +71,9 @@
         /** The fields that tell which node answers and how old its knowledge is. */
         Map<String, Object> head(WatchCall call);
 
+        /** Whether other nodes may be told what was kept, though sidecars are not yet. */
+        boolean tellsPeers();
+
         /** Whether nothing passes between this node and another: tests and trials cut them apart. */
         boolean isCut(String peer);
     }
@@ -260,7 +263,7 @@
                 channel.close();
                 return;
             }
-            if (!state.isReady()) {
+            if (!state.isReady() && !(asked.isOfPeer() && node.tellsPeers())) {
                 refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready: no other node has been heard yet");
                 return;
             }
--- a/edge/src/test/java/lemonrail/control/ControlNodeTest.java
+++ b/edge/src/test/java/lemonrail/control/ControlNodeTest.java
@@ -456,6 +456,37 @@
         assertEquals("terminating", watcher.to(alone.address()).watch(0).states.get("s1"));
     }
 
+    /** Guards against nodes that all wait for each other, where all were down. */
+    @Test
+    void nodesThatWereAllDownBeginFromWhatTheyHaveKeptTogether() throws Exception {
+        List<ControlNode> before = new ArrayList<>();
+        for (String name : List.of("w1", "w2")) {
+            before.add(nodes.start(name, "west", Nodes.anyPort(), folder));
+        }
+        nodes.join();
+        nodes.put("w1", "quote", "s1", "terminating");
+        nodes.awaitEqual("w1", "w2");
+        before.get(0).stop();
+        nodes.put("w2", "quote", "s2", "in_service");
+        before.get(1).stop();
+        long began = System.nanoTime();
+        List<ControlNode> again = new ArrayList<>();
+        for (ControlNode node : before) {
+            ControlNode fresh = ControlNode.create(new ControlConfig(node.name(), "west", node.address(), null,
+                before.stream().filter(other -> other != node).map(ControlNode::asPeer).toList(),
+                ControlConfig.MOST_WATCHERS, ControlConfig.ANSWER_GAP_MS, folder, LogSettings.USUAL),
+                new TextSink(System.err));
+            nodes.all.add(fresh);
+            again.add(fresh);
+            fresh.open();
+        }
+        Nodes.await("both are ready", () -> again.stream().allMatch(ControlNode::isReady));
+        assertTrue((System.nanoTime() - began) / 1e6 < 1900, "they need not wait");
+        nodes.awaitEqual("w1", "w2");
+        assertTrue(again.get(0).get("quote", "s2").contains("in_service"));
+        assertTrue(again.get(1).get("quote", "s1").contains("terminating"));
+    }
+
     /** Guards against one item of another version's node that keeps all others from coming. */
     @Test
     void anItemThatCannotBeReadKeepsNoOtherBack() throws Exception {
