--- a/edge/src/test/java/lemonrail/control/ControlNodeTest.java
+++ b/edge/src/test/java/lemonrail/control/ControlNodeTest.java
@@ -472,8 +472,8 @@
         long began = System.nanoTime();
         List<ControlNode> again = new ArrayList<>();
         for (ControlNode node : before) {
-            ControlNode fresh = ControlNode.create(new ControlConfig(node.name(), "west", node.address(), null,
-                before.stream().filter(other -> other != node).map(ControlNode::asPeer).toList(),
+            ControlNode fresh = ControlNode.create(new ControlConfig(node.name(), "west", node.address(),
+                null, before.stream().filter(other -> other != node).map(ControlNode::asPeer).toList(),
                 ControlConfig.MOST_WATCHERS, ControlConfig.ANSWER_GAP_MS, folder, LogSettings.USUAL),
                 new TextSink(System.err));
             nodes.all.add(fresh);
