Scale run: what it came to is kept where it cannot go on

A sidecar that was not ready in 30 s under load ended a run of minutes with nothing kept. Points and rows so far are kept now, marked as cut short, and the run does not pass.

--- a/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
@@ -20,7 +20,7 @@
 /** {@code scale control}: slopes and storms of control, with hollow sidecars beside real ones. */
 @Command(name = "control", description = "Measure the slopes of control, and play storms on it.",
     exitCodeListHeading = "%nExit status:%n", exitCodeList = {"0:all targets are met",
-        "1:a target is missed, something is not carried, or a measurement is void",
+        "1:a target is missed, something is not carried, void or cut short",
         "2:the call or the file is no good"})
 public final class ScaleControlCall implements Callable<Integer> {
 
@@ -37,7 +37,7 @@
     private CommandSpec spec;
 
     @Override
-    public Integer call() throws IOException, InterruptedException {
+    public Integer call() throws IOException {
         PrintWriter out = spec.commandLine().getOut();
         Path home = Path.of(System.getProperty("lemonrail.home", ".")).toAbsolutePath().normalize();
         ScaleScenario scenario = ScaleFile.read(file == null ? home.resolve("lab/scenarios/scale.toml")
--- a/lab/src/main/java/lemonrail/lab/scale/ScaleResults.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ScaleResults.java
@@ -21,13 +21,14 @@
  * What a scale run came to.
  *
  * @param changes each change of each storm, as lines of CSV
+ * @param cutShort why it ended before all was played, or empty where it did not
  */
 public record ScaleResults(ScaleScenario scenario, String version, double tookMs, List<Point> points,
-        List<StormRow> rows, List<String> changes) {
+        List<StormRow> rows, List<String> changes, String cutShort) {
 
     /** Whether all targets were met, and nothing was void. */
     public boolean passes() {
-        return rows.stream().allMatch(row -> row.verdict() == StormRow.Verdict.MET)
+        return cutShort.isEmpty() && rows.stream().allMatch(row -> row.verdict() == StormRow.Verdict.MET)
             && points.stream().noneMatch(Point::isVoid) && missed().isEmpty();
     }
 
@@ -92,6 +93,9 @@
             Runtime.getRuntime().availableProcessors(), System.getProperty("java.version"),
             scenario.site().endpoints(), scenario.sidecars().real(), scenario.site().services(),
             tookMs / 1000, passes() ? "All targets are met." : "**Not all targets are met.**"));
+        if (!cutShort.isEmpty()) {
+            text.append("\n**Cut short**: ").append(cutShort).append(".\n");
+        }
         missed().forEach(line -> text.append("\nMissed: ").append(line).append(".\n"));
         if (!rows.isEmpty()) {
             text.append(String.format(Locale.ROOT, "%n## Storms%n%nIn force within %.0f ms; a real "
--- a/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
@@ -5,7 +5,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import lemonrail.config.ConfigSource;
@@ -18,23 +17,32 @@
     }
 
     /**
-     * Plays it.
+     * Plays it; what it came to is kept where it cannot go on, or is interrupted, as well.
      *
      * @param program what real sidecars are
      * @param planes makes the control that storms are played against
      */
     public static ScaleResults play(ScaleScenario scenario, Program program, Path scratch, String version,
-            Supplier<ControlPlane> planes, PrintWriter words) throws IOException, InterruptedException {
+            Supplier<ControlPlane> planes, PrintWriter words) throws IOException {
         long began = System.nanoTime();
         InetSocketAddress nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
         Path file = PlatformConfig.write(scratch.resolve("hollow.json"), "hollow", nowhere, nowhere,
             scenario.site().endpoints(), scenario.site().zoneNames());
         EdgeConfig config = ConfigSource.of(file, Map.of("TMPDIR", scratch.toString())).load().config();
-        List<Point> points = scenario.slopes() == null ? List.of()
-            : new SlopeRun(scenario, program, scratch, config, words, planes).run();
+        SlopeRun slopes = new SlopeRun(scenario, program, scratch, config, words, planes);
         StormRun storms = new StormRun(scenario, program, scratch, config, words, planes);
-        List<StormRow> rows = scenario.storms().isEmpty() ? List.of() : storms.run();
-        return new ScaleResults(scenario, version, (System.nanoTime() - began) / 1e6, points, rows,
-            storms.changeLines());
+        String cutShort = "";
+        try {
+            if (scenario.slopes() != null) {
+                slopes.run();
+            }
+            storms.run();
+        } catch (IOException e) {
+            cutShort = String.valueOf(e.getMessage());
+        } catch (InterruptedException e) {
+            cutShort = "interrupted";
+        }
+        return new ScaleResults(scenario, version, (System.nanoTime() - began) / 1e6, slopes.points(),
+            storms.rows(), storms.changeLines(), cutShort);
     }
 }
--- a/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
@@ -40,10 +40,14 @@
         this.words = words;
     }
 
-    List<Point> run() throws IOException, InterruptedException {
+    /** What has been measured so far. */
+    List<Point> points() {
+        return points;
+    }
+
+    void run() throws IOException, InterruptedException {
         sidecars();
         control();
-        return points;
     }
 
     /** A change of an endpoint: it leaves, and at the next change comes back as a new process. */
--- a/lab/src/main/java/lemonrail/lab/scale/StormRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRun.java
@@ -70,7 +70,12 @@
         return changeLines;
     }
 
-    List<StormRow> run() throws IOException, InterruptedException {
+    /** What storms have come to so far. */
+    List<StormRow> rows() {
+        return rows;
+    }
+
+    void run() throws IOException, InterruptedException {
         for (Listed listed : Listed.values()) {
             List<Storm> storms = scenario.storms().stream()
                 .filter(storm -> storm.listed() == listed).toList();
@@ -84,7 +89,6 @@
                 }
             }
         }
-        return rows;
     }
 
     private void prepare(Listed listed) throws IOException, InterruptedException {
--- a/lab/src/test/java/lemonrail/lab/scale/HollowFleetTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/HollowFleetTest.java
@@ -1,7 +1,6 @@
 package lemonrail.lab.scale;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
--- a/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
@@ -150,4 +150,18 @@
             row.toString());
         assertFalse(results.passes());
     }
+
+    @Test
+    void whatCannotGoOnIsKeptAndNoPass() throws Exception {
+        ScaleScenario scenario = ScaleFile.read(Path.of("scenarios", "scale-small.toml"));
+        Program ends = new Program(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-version"), folder);
+        ScaleResults results = ScaleRun.play(scenario, ends, folder, "test", RegistryPlane::new,
+            new PrintWriter(new StringWriter()));
+        assertEquals("a sidecar has ended while starting", results.cutShort());
+        assertFalse(results.passes());
+        results.keep(folder.resolve("kept"));
+        String table = Files.readString(folder.resolve("kept").resolve("table.md"));
+        assertTrue(table.contains("**Cut short**: a sidecar has ended while starting."), table);
+    }
 }
