Lab: the data path's run tells what waking up for each call costs

A call costs the more the fewer there are a second, for the relay as for the sidecar, and whether that is the call or the waking could not be told from rates alone.

Calls may come at once (OpenLoop.Plan.batch): the same rate in ones, tens and thirties.

--- a/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
+++ b/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
@@ -27,14 +27,15 @@
      * @param warmUpMs before anything counts
      * @param timeoutMs after which a request is given up
      * @param spread all connections are used in turn, and not as few as will do
+     * @param batch requests that are due at the same moment; the rate is that of all of them
      */
     public record Plan(double rate, double lengthMs, double warmUpMs, int connections, double timeoutMs,
-            Arrivals.Spacing spacing, boolean spread) {
+            Arrivals.Spacing spacing, boolean spread, int batch) {
 
         /** Load on as few connections as will do. */
         public Plan(double rate, double lengthMs, double warmUpMs, int connections, double timeoutMs,
                 Arrivals.Spacing spacing) {
-            this(rate, lengthMs, warmUpMs, connections, timeoutMs, spacing, false);
+            this(rate, lengthMs, warmUpMs, connections, timeoutMs, spacing, false, 1);
         }
     }
 
@@ -103,7 +104,9 @@
 
     private void round() {
         while (dueMs < plan.lengthMs() && dueMs <= nowMs()) {
-            send(dueMs);
+            for (int i = 0; i < plan.batch(); i++) {
+                send(dueMs);
+            }
             dueMs = arrivals.next();
         }
         if (dueMs >= plan.lengthMs()) {
