Cold ramp beyond its reach is a known red test; the scale calls stand together; capacity test

Need: the case in which the ramp fails (1,000 before 2 or 3 at several times the capacity) had been left out of the fleet test as it cannot be mended now; the users want such a test named. scale-path and scale control were two commands of one thing.

--- a/lab/src/main/java/lemonrail/lab/Main.java
+++ b/lab/src/main/java/lemonrail/lab/Main.java
@@ -9,7 +9,6 @@
 import lemonrail.lab.cli.ReportCall;
 import lemonrail.lab.cli.RunCall;
 import lemonrail.lab.cli.ScaleCall;
-import lemonrail.lab.cli.ScalePathCall;
 import lemonrail.lab.cli.SweepCall;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -19,7 +18,7 @@
 @Command(name = "lemonrail", description = "Stand-ins and load for an edge.", scope = ScopeType.INHERIT,
     mixinStandardHelpOptions = true, subcommands = {DemoCall.class, RunCall.class, CompareCall.class,
         SweepCall.class, LoadCall.class, ReportCall.class, HistoryCall.class,
-        RelayCall.class, ScaleCall.class, ScalePathCall.class})
+        RelayCall.class, ScaleCall.class})
 public final class Main {
 
     private Main() {
--- a/lab/src/main/java/lemonrail/lab/cli/ScaleCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScaleCall.java
@@ -7,7 +7,7 @@
 
 /** {@code scale}: what control and the data path cost at the size that is aimed at, each by its own call. */
 @Command(name = "scale", description = "Measure what control and the data path cost at size.",
-    subcommands = ScaleControlCall.class)
+    subcommands = {ScaleControlCall.class, ScalePathCall.class})
 public final class ScaleCall implements Callable<Integer> {
 
     @Spec
--- a/lab/src/main/java/lemonrail/lab/cli/ScalePathCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScalePathCall.java
@@ -14,7 +14,7 @@
 import picocli.CommandLine.Spec;
 
 /** {@code scale path}: what a sidecar itself adds to a call, and what a call costs it. */
-@Command(name = "scale-path", description = "Measure what a sidecar adds to a call, beside a direct call "
+@Command(name = "path", description = "Measure what a sidecar adds to a call, beside a direct call "
     + "and a bare relay; 1 where the target is missed.")
 public final class ScalePathCall implements Callable<Integer> {
 
--- a/lab/src/test/java/lemonrail/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/lemonrail/lab/fleet/FleetTest.java
@@ -7,6 +7,7 @@
 import lemonrail.lab.model.Endpoint;
 import lemonrail.lab.model.Registry;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -102,6 +103,23 @@
         "30, 2, 4, false, 5", "1000, 9, 0.5, false, 6", "1000, 9, 0.5, true, 7", "1000, 9, 4, false, 8",
         "1000, 3, 1.5, false, 9", "1000, 90, 0.5, true, 10"})
     void coldEndpointsBearTheSumOfAll(int deciders, int servers, double load, boolean othersHang, long seed) {
+        coldEndpointsBear(deciders, servers, load, othersHang, seed);
+    }
+
+    /**
+     * The same far beyond the balancers for each server up to which the ramp holds by itself, at several times
+     * what the servers can do: a known fault, see KNOWN-RED.txt.
+     */
+    @ParameterizedTest
+    @Tag("known-red")
+    @CsvSource({"1000, 3, 4, false, 9", "1000, 2, 6, false, 1"})
+    void coldEndpointsBearAThousandBeforeTwoOrThree(int deciders, int servers, double load, boolean othersHang,
+            long seed) {
+        coldEndpointsBear(deciders, servers, load, othersHang, seed);
+    }
+
+    private static void coldEndpointsBear(int deciders, int servers, double load, boolean othersHang,
+            long seed) {
         Fleet fleet = new Fleet(deciders, servers, load, seed);
         for (int i = 0; i < deciders; i++) {
             Fleet.Member member = fleet.members.get(i);
