--- a/lab/src/test/java/lemonrail/lab/scale/ScaleFileTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/ScaleFileTest.java
@@ -61,7 +61,7 @@
         "watchers = [100, 300, 1000] | watchers = [100, 300, 0.5] | slopes.watchers | 3 or more rising",
         "kind = \"zone\"       | kind = \"planet\"     | storms[5].kind    | one of \"change\"",
         "listed = \"service\"  | listed = \"some\"     | storms[12].listed | one of \"all\"",
-        "length = \"60s\"      | length = \"60\"       | storms[1].length  | a time with its unit",
+        "length = \"60s\"      | length = \"60\"       | storms[7].length  | a time with its unit",
     })
     void whatIsWrongIsNamedWithItsLine(String right, String wrong, String key, String why)
             throws IOException {
