--- a/core/src/main/java/lemonrail/core/control/Route.java
+++ b/core/src/main/java/lemonrail/core/control/Route.java
@@ -17,13 +17,23 @@
     /** After so long a watcher goes back to its first node. */
     static final double LEAST_AWAY_MS = 30_000;
     static final double MOST_AWAY_MS = 60_000;
+    /**
+     * At another region's node it looks at its own region's sooner: if the regions lose each other, that node
+     * hears nothing of its own region.
+     */
+    static final double LEAST_ABROAD_MS = 5_000;
+    static final double MOST_ABROAD_MS = 10_000;
     /** The mean pause after all nodes have failed in turn, which doubles up to the most. */
     private static final double PAUSE_MS = 100;
     private static final double MOST_PAUSE_MS = 1_000;
 
     private final List<String> order = new ArrayList<>();
     private final SplittableRandom random;
+    private final int own;
     private int at;
+    /** The other region's node to go on at, if the look at its own region's fails; below 0 for none. */
+    private int back = -1;
+    private int looks;
     private int failures;
     private double pauseMs = PAUSE_MS;
     private double homeAt;
@@ -38,6 +48,7 @@
      */
     public Route(String name, List<String> nodes, List<String> others, long seed) {
         order.addAll(Spread.order(name, nodes));
+        own = order.size();
         Spread.order(name, others).stream().filter(node -> !order.contains(node)).forEach(order::add);
         if (order.isEmpty()) {
             throw new IllegalArgumentException("there must be a node to watch");
@@ -52,6 +63,12 @@
 
     /** The node has failed: the next one is the current one from now on, after a pause, 0 for at once. */
     public double failed(double now) {
+        if (back >= 0) {
+            at = back;
+            back = -1;
+            abroad(now);
+            return 0;
+        }
         move(now);
         failures++;
         if (failures % order.size() != 0) {
@@ -72,11 +89,20 @@
     public boolean answered(double now, double ageMs) {
         failures = 0;
         pauseMs = PAUSE_MS;
+        if (back >= 0) {
+            back = -1;
+            away(now);
+        }
         if (ageMs > STALE_MS && now >= nextStaleMove && order.size() > 1) {
             nextStaleMove = now + STALE_PAUSE_MS * (0.5 + random.nextDouble());
             move(now);
             return true;
         }
+        if (at >= own && now >= homeAt && own > 0) {
+            back = at;
+            at = looks++ % own;
+            return true;
+        }
         if (at != 0 && now >= homeAt) {
             at = 0;
             return true;
@@ -86,8 +112,19 @@
 
     private void move(double now) {
         if (at == 0) {
-            homeAt = now + LEAST_AWAY_MS + (MOST_AWAY_MS - LEAST_AWAY_MS) * random.nextDouble();
+            away(now);
         }
         at = (at + 1) % order.size();
+        if (at == own) {
+            abroad(now);
+        }
+    }
+
+    private void away(double now) {
+        homeAt = now + LEAST_AWAY_MS + (MOST_AWAY_MS - LEAST_AWAY_MS) * random.nextDouble();
+    }
+
+    private void abroad(double now) {
+        homeAt = now + LEAST_ABROAD_MS + (MOST_ABROAD_MS - LEAST_ABROAD_MS) * random.nextDouble();
     }
 }
--- a/core/src/test/java/lemonrail/core/control/RouteTest.java
+++ b/core/src/test/java/lemonrail/core/control/RouteTest.java
@@ -74,6 +74,37 @@
         assertTrue(perSecond.values().stream().allMatch(count -> count <= 30), perSecond.toString());
     }
 
+    /** Guards against watchers that stay in another region, which then may lose theirs, for a minute. */
+    @Test
+    void aWatcherInAnotherRegionLooksAtItsOwnSoonAndOneNodeAtATime() {
+        Route route = route(1);
+        for (int i = 0; i < 3; i++) {
+            route.failed(0);
+        }
+        String abroad = route.current();
+        assertTrue(EAST.contains(abroad));
+        List<String> looked = new ArrayList<>();
+        double now = 0;
+        for (int i = 0; i < 3; i++) {
+            double since = now;
+            while (!route.answered(now, 0)) {
+                now += 100;
+            }
+            assertTrue(now - since >= Route.LEAST_ABROAD_MS && now - since <= Route.MOST_ABROAD_MS + 100);
+            looked.add(route.current());
+            assertEquals(0, route.failed(now));
+            assertEquals(abroad, route.current(), "it goes on where it was");
+        }
+        assertEquals(Set.copyOf(WEST), Set.copyOf(looked));
+        while (!route.answered(now, 0)) {
+            now += 100;
+        }
+        String home = route.current();
+        assertTrue(WEST.contains(home));
+        assertFalse(route.answered(now + 1000, 0), "it stays");
+        assertEquals(home, route.current());
+    }
+
     @Test
     void aNodeThatHearsNothingNewIsLeftForAnother() {
         Route route = route(1);
