--- a/lab/src/main/java/lemonrail/lab/scale/NodesPlane.java
+++ b/lab/src/main/java/lemonrail/lab/scale/NodesPlane.java
@@ -331,7 +331,7 @@
         while (!inForce(stamp) && System.nanoTime() - began < mostMs * 1e6) {
             TimeUnit.MILLISECONDS.sleep(LOOK_MS);
         }
-        // The last of all, as the operators see it: it has been told to the nodes, and is no sooner than it was.
+        // The last of all, as the operators see it: told to the nodes, and no sooner than it was in force.
         tookMs.add(inForce(stamp) ? (System.nanoTime() - began) / 1e6 : Double.NaN);
         synchronized (settingsTold) {
             settingsTold.forEach(at -> tookMs.add((at - began) / 1e6));
--- a/lab/src/test/java/lemonrail/lab/report/CapacityPageTest.java
+++ b/lab/src/test/java/lemonrail/lab/report/CapacityPageTest.java
@@ -117,7 +117,8 @@
         for (int i = 0; i < words.length - 1; i++) {
             int equals = words[i].indexOf('=');
             String name = equals < 0 ? words[i] : words[i].substring(0, equals);
-            if (!row.isMapped(name) || !row.get(name).replace(' ', '_').equals(words[i].substring(equals + 1))) {
+            if (!row.isMapped(name)
+                    || !row.get(name).replace(' ', '_').equals(words[i].substring(equals + 1))) {
                 return false;
             }
         }
