Attempts end early enough for the word to reach the client; the listener opens when warm

Ruled out: stalls of the loop once it serves (20 ms at most by default).

- Exchange.request, answerBy: 1% of the wait (2 ms at least) and the loop's greatest lateness of the last seconds are left for the way of the answer, a quarter of the wait at most.
- LoopLag, MeasuredIo: how late the loop is, and how long what it reads can have waited for it; a request's time counts from its earliest possible arrival (Frontend.request), also on a connection just accepted.
- EndpointPool.send: what an attempt tells its endpoint leaves out the time of the dial.
- Sidecar.open: listens after the warm-up; until then a connect is refused and the client goes elsewhere.

--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -46,6 +46,8 @@
 import lemonrail.streaming.Budget;
 import lemonrail.suspension.Suspensions;
 import lemonrail.time.Clock;
+import lemonrail.time.LoopLag;
+import lemonrail.time.MeasuredIo;
 import lemonrail.upgrade.Presence;
 
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
@@ -82,6 +84,7 @@
     private List<Loaded.Value> values;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final LoopLag lag = new LoopLag();
     private final Protocol<?, ?> protocol;
     private final Decider decider;
     private final Lifecycle lifecycle = new Lifecycle(() -> knowsEndpoints());
@@ -116,7 +119,7 @@
         this.sink = sink;
         metrics = new Metrics(config.classNames());
         group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("sidecar"),
-            NioIoHandler.newFactory());
+            new MeasuredIo(NioIoHandler.newFactory(), lag));
         loop = (EventLoop) group.next();
     }
 
@@ -134,9 +137,9 @@
     }
 
     /**
-     * Opens the operators' door, then the clients' listener. Beside an older process that comes last, when
-     * all else stands, as the system then hands part of the new connections to this one; after a plain
-     * restart it comes first, as a front that has noticed nothing goes on connecting.
+     * Opens the operators' door, warms up, and then listens for clients. Until then a client's connect is
+     * refused at once, and it goes elsewhere: what came earlier would wait in the listener's queue for a loop
+     * that the start keeps busy, and be answered late or never where the processor is short.
      */
     public void open() throws IOException {
         long began = System.nanoTime();
@@ -144,17 +147,16 @@
             if (config.admin() != null) {
                 awaitBound("the operators' door", config.admin(), door.listen(config.admin()));
             }
-            if (!sharesLimits) {
-                listen();
-            }
             CountDownLatch warm = new CountDownLatch(1);
             loop.execute(() -> protocol.warmUp(shard,
                 config.listeners().get(0).getAddress(), config.kept("warm-up"), warm::countDown));
             warm.await();
-            if (addresses.isEmpty()) {
-                listen();
-            }
-            loop.submit(lifecycle::started).sync();
+            listen();
+            loop.submit(() -> {
+                // What the start itself has kept the loop from tells nothing of what is to come.
+                lag.forget();
+                lifecycle.started();
+            }).sync();
             long tookMs = (System.nanoTime() - began) / 1_000_000;
             InetSocketAddress at = addresses.get(0);
             log.info("serving", "serving at " + addresses.stream().map(String::valueOf)
@@ -183,7 +185,7 @@
     }
 
     private void build() {
-        Clock clock = new Clock();
+        Clock clock = new Clock(lag);
         log = new EventLog(clock, sink);
         suspensions = new Suspensions(config.kept("suspended"), log);
         presence = new Presence(config.kept("processes"), log);
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -44,6 +44,11 @@
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
+    /** The client's time that an answer's way to it may take: this part of it, and no less than that. */
+    private static final double WAY_SHARE = 0.01;
+    private static final double LEAST_WAY_MS = 2;
+    /** The part of a client's time that the way and this process's own lateness may cost at most. */
+    private static final double MOST_ALLOWANCE_SHARE = 0.25;
     /** A large body of which an endpoint takes nothing for so long is given up. */
     private static final int UPLOAD_STALL_MS = 4000;
     /** The same for a large answer of which an endpoint sends or a client takes nothing. */
@@ -66,8 +71,9 @@
         final M message;
         final Client<A> client;
         final List<Try> tries = new ArrayList<>(2);
-        /** What the client waits, from when its request is whole. */
+        /** What the client waits, from when its request is read. */
         final double waitMs;
+        /** When the client stops waiting. */
         double deadline;
         Future<?> overdue;
         boolean concluded;
@@ -191,20 +197,36 @@
         if (!message.isComing()) {
             awaitOverdue(open);
         }
-        raise(open, now -> module.onRequest(now, request));
+        Request told = new Request(request.id(), request.requestClass(), request.tenant(), answerBy(open),
+            request.resent());
+        raise(open, now -> module.onRequest(now, told));
+    }
+
+    /**
+     * When the final answer must be on its way for the client to have it within its time. It leaves room for
+     * the way, and for as late as the event loop has been of late: an attempt given up at the client's very
+     * deadline is always answered after it.
+     */
+    private double answerBy(Open<M, A> open) {
+        return open.deadline - allowanceMs(open);
+    }
+
+    private double allowanceMs(Open<M, A> open) {
+        double wayMs = Math.max(LEAST_WAY_MS, WAY_SHARE * open.waitMs);
+        return Math.min(wayMs + clock.lag().recentMs(), MOST_ALLOWANCE_SHARE * Math.max(0, open.waitMs));
     }
 
     /** The rest of a large body has come: the request's time counts from here. */
     public void bodyWhole(String id) {
         Open<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
-            open.deadline = clock.now() + open.waitMs;
+            open.deadline = clock.now() - clock.waitedMs() + open.waitMs;
             awaitOverdue(open);
         }
     }
 
     private void awaitOverdue(Open<M, A> open) {
-        open.overdue = after(open.deadline - clock.now() + OVERDUE_MS, () -> overdue(open));
+        open.overdue = after(answerBy(open) - clock.now() + OVERDUE_MS, () -> overdue(open));
     }
 
     /** The client's connection has ended before its answer. */
@@ -349,7 +371,7 @@
         Try made = new Try(open.tries.size(), server, now, windowEnds(open, now));
         open.tries.add(made);
         open.out++;
-        double left = open.message.isComing() ? open.waitMs : open.deadline - now;
+        double left = open.message.isComing() ? open.waitMs - allowanceMs(open) : answerBy(open) - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         if (open.concluded || left <= 0 || open.tries.size() > settings.limits().tries()) {
             end(open, made, Outcome.IGNORED);
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import lemonrail.http1.RequestReader.Incoming;
 import lemonrail.http1.RequestReader.Refusal;
+import lemonrail.time.Clock;
 import lemonrail.upgrade.AcceptedSocket;
 
 /** One connection of a client: its requests in, and their answers out in the same order. */
@@ -41,6 +42,9 @@
     private boolean surplus;
     private boolean hasAsked;
     private double quietSince;
+    /** The earliest that it can have come up, and the poll that found it. */
+    private double openedAt;
+    private long openedInPoll;
     /** Answers that have been handed to the connection whole and that it has not written yet. */
     private int unwritten;
     /** Answers are being handed to the connection: what comes of that waits its turn. */
@@ -69,9 +73,18 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        openedAt = frontend.clock().now() - frontend.clock().waitedMs();
+        openedInPoll = frontend.clock().lag().polls();
         surplus = !frontend.opened(this);
     }
 
+    /** The earliest that what is read now can have arrived; first bytes may be as old as the connection. */
+    private double arrivedAt() {
+        Clock clock = frontend.clock();
+        long polls = clock.lag().polls();
+        return polls > 0 && polls <= openedInPoll + 1 ? openedAt : clock.now() - clock.waitedMs();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         frontend.closed(this);
@@ -229,7 +242,7 @@
         } else {
             reply.asked(told.id());
             hasAsked = true;
-            frontend.exchange().request(frontend.request(told), message(request), reply);
+            frontend.exchange().request(frontend.request(told, arrivedAt()), message(request), reply);
         }
     }
 
--- a/edge/src/main/java/lemonrail/http1/EndpointPool.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointPool.java
@@ -44,11 +44,15 @@
      * connection is used before. Second answers were seen 2 to 5 ms late.
      */
     private static final double SETTLE_MS = 10;
+    /** The least time that an attempt tells its endpoint. */
+    private static final double LEAST_TOLD_MS = 1;
 
     /** One request on its way to an endpoint. */
     private final class OneAttempt implements Upstream.Attempt {
         private final RequestMessage request;
         private final double waitMs;
+        /** When it stops being waited for, unless its body takes longer to send. */
+        private final double endsAt;
         private Upstream.Ending<Answer> ending;
         private Connection connection;
         /** Tells when the last byte has been handed to the network: from then on the request may have run. */
@@ -57,9 +61,15 @@
         private OneAttempt(RequestMessage request, double waitMs, Upstream.Ending<Answer> ending) {
             this.request = request;
             this.waitMs = waitMs;
+            endsAt = clock.now() + waitMs;
             this.ending = ending;
         }
 
+        /** What is left of its time as it is sent: its connection may have been long in coming up. */
+        private double leftMs() {
+            return Math.max(LEAST_TOLD_MS, endsAt - clock.now());
+        }
+
         @Override
         public boolean mayHaveRun() {
             return lastByte != null && lastByte.isSuccess();
@@ -341,7 +351,7 @@
 
         private void send(OneAttempt sent) {
             if (sent.request.rest() == null) {
-                await(sent, channel.writeAndFlush(sent.request.whole(sent.waitMs)));
+                await(sent, channel.writeAndFlush(sent.request.whole(sent.leftMs())));
                 return;
             }
             channel.write(sent.request.head(sent.waitMs));
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -244,10 +244,10 @@
         return leaving;
     }
 
-    /** What the module is told of a request that has come just now. */
-    Request request(RequestHeads.Told told) {
+    /** What a request asks for that came no earlier than this: its client waits from when it was sent. */
+    Request request(RequestHeads.Told told, double arrivedAt) {
         return new Request(told.id(), told.requestClass(), told.tenant(),
-            Math.min(clock.now() + told.waitMs(), endsAt), told.resent());
+            Math.min(arrivedAt + told.waitMs(), endsAt), told.resent());
     }
 
     /** A connection is there; false if there is no room for it. */
--- a/edge/src/main/java/lemonrail/time/Clock.java
+++ b/edge/src/main/java/lemonrail/time/Clock.java
@@ -8,9 +8,30 @@
 
     private final double startMs = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
+    private final LoopLag lag;
+
+    /** A clock for a loop whose lateness nobody measures: it counts as prompt. */
+    public Clock() {
+        this(new LoopLag());
+    }
+
+    /** The clock of the event loop that this measures. */
+    public Clock(LoopLag lag) {
+        this.lag = lag;
+    }
 
     /** Milliseconds, on the scale of Unix time. */
     public double now() {
         return startMs + (System.nanoTime() - startNanos) / 1e6;
     }
+
+    /** The longest, in milliseconds, that what its event loop handles now can have waited for the loop. */
+    public double waitedMs() {
+        return lag.waitedMs(System.nanoTime());
+    }
+
+    /** How late the event loop is. */
+    public LoopLag lag() {
+        return lag;
+    }
 }
--- /dev/null
+++ b/edge/src/main/java/lemonrail/time/LoopLag.java
@@ -0,0 +1,78 @@
+package lemonrail.time;
+
+/**
+ * How late an event loop attends to what happens, measured at its polls for I/O. What an iteration handles
+ * may have been ready since the poll before it, and a timer that falls due while the loop is busy, or while
+ * something else has its processor, runs late. Belongs to the loop; times come in from outside.
+ */
+public final class LoopLag {
+
+    /** A poll that took longer than this has slept: what it returned with was not ready when it began. */
+    static final long SLEPT_NANOS = 1_000_000;
+    /** The greatest lateness is remembered for one to two such spans. */
+    static final long SPAN_NANOS = 2_000_000_000L;
+    private static final double NANOS_PER_MS = 1e6;
+
+    private long polls;
+    private long pollingAt;
+    private long polledAt;
+    private long previouslyPolledAt;
+    private long dueAt;
+    private long spanBegan;
+    private long greatestNanos;
+    private long previousGreatestNanos;
+
+    /**
+     * The loop is about to poll.
+     *
+     * @param nowNanos the monotonic time
+     * @param untilTimerNanos how long until its next timer is due
+     */
+    public void polling(long nowNanos, long untilTimerNanos) {
+        if (polls > 0) {
+            late(nowNanos, nowNanos - polledAt);
+        }
+        pollingAt = nowNanos;
+        dueAt = nowNanos + Math.max(0, untilTimerNanos);
+    }
+
+    /** The poll has returned at this monotonic time, and what is ready is handled next. */
+    public void polled(long nowNanos) {
+        previouslyPolledAt = polls == 0 ? pollingAt : polledAt;
+        polledAt = nowNanos;
+        polls++;
+        late(nowNanos, nowNanos - dueAt);
+    }
+
+    private void late(long nowNanos, long byNanos) {
+        long spans = (nowNanos - spanBegan) / SPAN_NANOS;
+        if (spans > 0) {
+            previousGreatestNanos = spans == 1 ? greatestNanos : 0;
+            greatestNanos = 0;
+            spanBegan = nowNanos;
+        }
+        greatestNanos = Math.max(greatestNanos, byNanos);
+    }
+
+    /** How many polls there have been. */
+    public long polls() {
+        return polls;
+    }
+
+    /** The longest that what is handled now can have waited for the loop, in milliseconds. */
+    public double waitedMs(long nowNanos) {
+        boolean slept = polledAt - pollingAt > SLEPT_NANOS;
+        return polls == 0 ? 0 : (nowNanos - (slept ? polledAt : previouslyPolledAt)) / NANOS_PER_MS;
+    }
+
+    /** The greatest lateness of the last few seconds, in milliseconds. */
+    public double recentMs() {
+        return Math.max(greatestNanos, previousGreatestNanos) / NANOS_PER_MS;
+    }
+
+    /** Leaves out what was measured so far, as once a process has started. */
+    public void forget() {
+        greatestNanos = 0;
+        previousGreatestNanos = 0;
+    }
+}
--- a/edge/src/test/java/lemonrail/assembly/LateFake.java
+++ b/edge/src/test/java/lemonrail/assembly/LateFake.java
@@ -9,6 +9,7 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -21,6 +22,8 @@
 
     /** Connections on which at least one byte of a request has come. */
     final AtomicInteger asked = new AtomicInteger();
+    /** The headers of the request that came last. */
+    volatile Map<String, String> headers = Map.of();
     private final ServerSocket listener;
     private final List<Socket> fillers = new ArrayList<>();
 
@@ -60,7 +63,7 @@
     private void serve() {
         while (!listener.isClosed()) {
             try (Wire wire = new Wire(listener.accept())) {
-                wire.read();
+                headers = wire.read().headers();
                 asked.incrementAndGet();
                 Fake.answer(wire, 200, "", "late");
             } catch (IOException e) {
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/LateLoopTest.java
@@ -0,0 +1,151 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * The final answer comes within the client's time as the client counts it: also where no endpoint answers,
+ * where the event loop is late, and where a request has waited before it was read.
+ */
+@Timeout(60)
+class LateLoopTest {
+
+    private static final int WAIT_MS = 400;
+    private static final int REQUESTS = 20;
+    /** On a machine that tests share, the client itself is held up now and then. */
+    private static final int HELD_UP_SHARE = 10;
+    private static final int STALL_MS = 200;
+    private static final int SHORTEST_STALL_MS = 50;
+    private static final int LONGEST_STALL_MS = 300;
+    private static final int STALLED_WAIT_MS = 1500;
+    private static final int BETWEEN_STALLS_MS = 400;
+    private static final long SEED = 24;
+
+    /** An endpoint that takes requests and never answers. */
+    private static Fake hung() throws IOException {
+        return new Fake((Wire wire, Wire.Message request) -> wire.awaitEnd());
+    }
+
+    /** How long the final answer takes, in milliseconds from when the request is sent. */
+    private static double answerMs(Rig rig, int waitMs) throws IOException {
+        try (Wire wire = rig.client()) {
+            String request = rig.request("read", waitMs);
+            long sent = System.nanoTime();
+            wire.send(request).read();
+            return (System.nanoTime() - sent) / 1e6;
+        }
+    }
+
+    private static void pause(int ms) {
+        try {
+            new CountDownLatch(1).await(ms, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Keeps the loop from its work for so long, from now or from when it is free. */
+    private static Future<?> stall(Rig rig, int ms) {
+        return rig.sidecar.loop().submit(() -> pause(ms));
+    }
+
+    private static void awaitEnd(Future<?> task) {
+        try {
+            task.get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Guards against an attempt that is given up only when its client has gone. */
+    @Test
+    void aFailureIsHeardWithinTheTimeOfItsClient() throws Exception {
+        try (Rig rig = new Rig(hung(), hung()).start()) {
+            int late = 0;
+            for (int i = 0; i < REQUESTS; i++) {
+                late += answerMs(rig, WAIT_MS) > WAIT_MS ? 1 : 0;
+            }
+            assertTrue(late <= REQUESTS / HELD_UP_SHARE, late + " of " + REQUESTS + " came late");
+        }
+    }
+
+    /** Guards against a time that counts from when a request is read, though it came long before. */
+    @Test
+    void anAttemptIsToldWhatIsLeftAfterTheWaitForTheLoop() throws Exception {
+        Fake endpoint = Fake.answering(200, "", "ok");
+        try (Rig rig = new Rig(endpoint).start(); Wire wire = rig.client()) {
+            wire.send(rig.request("read", WAIT_MS)).read();
+            CountDownLatch stalled = new CountDownLatch(1);
+            rig.sidecar.loop().execute(stalled::countDown);
+            stall(rig, STALL_MS);
+            stalled.await();
+            wire.send(rig.request("read", WAIT_MS)).read();
+            long told = Long.parseLong(endpoint.requests.get(1).headers().get("x-deadline-ms"));
+            assertTrue(told <= WAIT_MS - STALL_MS / 2, "told " + told + " ms");
+        }
+    }
+
+    /** The law as a whole: the loop stalls at random instants beside endpoints of which none answers. */
+    @Test
+    void failuresAreHeardInTimeAlsoWhereTheLoopStalls() throws Exception {
+        SplittableRandom random = new SplittableRandom(SEED);
+        AtomicBoolean over = new AtomicBoolean();
+        ExecutorService clients = Executors.newFixedThreadPool(REQUESTS);
+        try (Rig rig = new Rig(hung(), hung(), Fake.answering(503, "X-Not-Run: 1\r\n", "full")).start()) {
+            // The longest stall comes first: how late the loop can be is learned, not known.
+            stall(rig, LONGEST_STALL_MS).get();
+            Thread stalls = new Thread(() -> {
+                while (!over.get()) {
+                    awaitEnd(stall(rig, random.nextInt(SHORTEST_STALL_MS, LONGEST_STALL_MS)));
+                    pause(random.nextInt(BETWEEN_STALLS_MS));
+                }
+            });
+            stalls.start();
+            int late = 0;
+            List<Future<Double>> answers = new ArrayList<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                answers.add(clients.submit(() -> answerMs(rig, STALLED_WAIT_MS)));
+            }
+            for (Future<Double> answer : answers) {
+                late += answer.get() > STALLED_WAIT_MS ? 1 : 0;
+            }
+            over.set(true);
+            stalls.join();
+            assertTrue(late <= REQUESTS / HELD_UP_SHARE, late + " of " + REQUESTS + " came late");
+        } finally {
+            clients.shutdownNow();
+        }
+    }
+
+    /** Guards against a time told as if the connection had come up at once. */
+    @Test
+    void anAttemptOnALateConnectionTellsWhatIsLeftThen() throws Exception {
+        try (LateFake late = new LateFake(); Rig rig = new Rig()) {
+            rig.change = config -> config.replace("\"servers\":[]", "\"servers\":["
+                + Rig.line(0, late.address(), "in_service", 0) + "]");
+            rig.start();
+            try (Wire wire = rig.client()) {
+                wire.send(rig.request("read", STALLED_WAIT_MS));
+                Rig.await("an attempt waits for its connection", () -> rig.inHand() == 1);
+                late.release();
+                assertEquals(200, wire.read().status());
+            }
+            long told = Long.parseLong(late.headers.get("x-deadline-ms"));
+            assertTrue(told <= STALLED_WAIT_MS / 2, "told " + told + " ms");
+        }
+    }
+}
--- a/edge/src/test/java/lemonrail/assembly/Rig.java
+++ b/edge/src/test/java/lemonrail/assembly/Rig.java
@@ -19,6 +19,7 @@
 import lemonrail.core.Decider;
 import lemonrail.core.WatchPace;
 import lemonrail.core.policy.Decide;
+import lemonrail.exchange.Protocol;
 import lemonrail.http1.Http1;
 import lemonrail.logging.TextSink;
 
@@ -46,6 +47,7 @@
     /** What a test changes of the configuration beyond the fields here. */
     UnaryOperator<String> change = config -> config;
     int graceMs = 500;
+    Protocol<?, ?> protocol = new Http1();
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -98,7 +100,7 @@
             environment.put("LEMONRAIL_DISCOVERY_WAIT", discoveryWaitMs + "ms");
         }
         PlatformFile source = new PlatformFile(configFile, environment);
-        sidecar = Sidecar.create(new Http1(), source, source.load(),
+        sidecar = Sidecar.create(protocol, source, source.load(),
             new TextSink(new PrintStream(log, true, StandardCharsets.UTF_8)), decider);
         sidecar.open();
         return this;
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/StartTest.java
@@ -0,0 +1,80 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
+import lemonrail.exchange.Exchange;
+import lemonrail.exchange.Front;
+import lemonrail.exchange.Message;
+import lemonrail.exchange.Protocol;
+import lemonrail.exchange.Shard;
+import lemonrail.exchange.Upstream;
+import lemonrail.http1.Http1;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a client meets before a sidecar is ready. */
+@Timeout(60)
+class StartTest {
+
+    /** A protocol that tells whether a client is let in while it warms up. */
+    private record Watched<M extends Message, A>(Protocol<M, A> protocol, int port, AtomicBoolean letIn)
+            implements Protocol<M, A> {
+
+        @Override
+        public Upstream<M, A> upstream(Shard shard, int mostConnections) {
+            return protocol.upstream(shard, mostConnections);
+        }
+
+        @Override
+        public Front front(Shard shard, Exchange<M, A> exchange, int mostConnections) {
+            return protocol.front(shard, exchange, mostConnections);
+        }
+
+        @Override
+        public void warmUp(Shard shard, InetAddress at, Path scratch, Runnable done) {
+            letIn.set(lets(port));
+            protocol.warmUp(shard, at, scratch, done);
+        }
+
+        @Override
+        public int overflow() {
+            return protocol.overflow();
+        }
+    }
+
+    private static boolean lets(int port) {
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** Guards against requests that wait in the listener's queue while the start keeps the loop busy. */
+    @Test
+    void noClientIsLetInBeforeTheSidecarIsWarm() throws Exception {
+        int port = freePort();
+        AtomicBoolean letIn = new AtomicBoolean();
+        try (Rig rig = new Rig(Fake.answering(200, "", "ok"))) {
+            rig.change = config -> config.replace("\"listen\":\"127.0.0.1:0\"",
+                "\"listen\":\"127.0.0.1:" + port + "\"");
+            rig.protocol = new Watched<>(new Http1(), port, letIn);
+            rig.start();
+            assertFalse(letIn.get(), "a client was let in during the warm-up");
+            assertTrue(lets(port), "a client is let in once the sidecar serves");
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/lemonrail/time/LoopLagTest.java
@@ -0,0 +1,87 @@
+package lemonrail.time;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** How late a loop counts as, by the times of its polls. */
+class LoopLagTest {
+
+    private static final long FAR_MS = 1000;
+
+    private final LoopLag lag = new LoopLag();
+    private long nowMs = 100;
+
+    /** One iteration: a poll that takes so long, and the work that follows. */
+    private void iteration(long pollMs, long untilTimerMs, long workMs) {
+        lag.polling(nanos(nowMs), nanos(untilTimerMs));
+        nowMs += pollMs;
+        lag.polled(nanos(nowMs));
+        nowMs += workMs;
+    }
+
+    private static long nanos(long ms) {
+        return TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+
+    private double waitedMs() {
+        return lag.waitedMs(nanos(nowMs));
+    }
+
+    @Test
+    void aLoopThatNobodyMeasuresIsPrompt() {
+        assertEquals(0, waitedMs());
+        assertEquals(0, lag.recentMs());
+    }
+
+    @Test
+    void whatWakesTheLoopHasWaitedOnlySinceThen() {
+        iteration(50, FAR_MS, 7);
+        assertEquals(7, waitedMs());
+    }
+
+    @Test
+    void whatIsReadyAtOnceMayHaveComeRightAfterThePollBefore() {
+        iteration(50, FAR_MS, 200);
+        iteration(0, FAR_MS, 3);
+        assertEquals(203, waitedMs());
+    }
+
+    @Test
+    void workBetweenPollsIsLateness() {
+        iteration(50, FAR_MS, 80);
+        iteration(0, FAR_MS, 0);
+        assertEquals(80, lag.recentMs());
+    }
+
+    @Test
+    void aPollThatOutlastsItsTimerIsLateness() {
+        iteration(50, 20, 0);
+        assertEquals(30, lag.recentMs());
+    }
+
+    @Test
+    void aPollThatEndsBeforeItsTimerIsNone() {
+        iteration(50, FAR_MS, 0);
+        assertEquals(0, lag.recentMs());
+    }
+
+    @Test
+    void latenessIsRememberedForASpanAndForgottenAfterTwo() {
+        long spanMs = TimeUnit.NANOSECONDS.toMillis(LoopLag.SPAN_NANOS);
+        iteration(50, FAR_MS, 80);
+        iteration(spanMs, spanMs + FAR_MS, 0);
+        assertEquals(80, lag.recentMs());
+        iteration(2 * spanMs, 2 * spanMs + FAR_MS, 0);
+        assertEquals(0, lag.recentMs());
+    }
+
+    @Test
+    void whatTheStartTookIsForgotten() {
+        iteration(50, FAR_MS, 400);
+        iteration(0, FAR_MS, 0);
+        lag.forget();
+        assertEquals(0, lag.recentMs());
+    }
+}
