--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -37,7 +37,7 @@
     private final RequestReader reader;
     /** In the order of the requests, which is the order that HTTP asks answers to be in. */
     private final Deque<ClientReply> replies = new ArrayDeque<>();
-    /** There was no room for it: it is told to come back later. */
+    /** There was no room for it: it is told to come back later, unless there is when it asks. */
     private boolean surplus;
     private boolean hasAsked;
     private double quietSince;
@@ -112,6 +112,16 @@
         return isAnswered() && (!ending || guard.hasSaid()) && !channel.hasUnread();
     }
 
+    /** Whether its last answer is on its way, or written. */
+    boolean isEnding() {
+        return ending;
+    }
+
+    /** Whether it has had its last answer, and nothing is left to do but to close it. */
+    boolean isOver() {
+        return ending && isIdle();
+    }
+
     /** Whether nothing has happened on it since then. */
     boolean isStillSince(double time) {
         return Math.max(quietSince, guard.heardAt()) <= time;
@@ -161,7 +171,7 @@
         ClientReply reply = new ClientReply(this, frontend.metrics());
         replies.add(reply);
         continueOwed = false;
-        frontend.asked(this);
+        frontend.connections().asked(this);
         if (message instanceof Incoming incoming && incoming.rest() != null) {
             uploading = reply;
         } else {
@@ -223,7 +233,7 @@
         RequestHeads.Told told = heads.told(request.head());
         if (frontend.exchange().has(told.id())) {
             reply.giveUp(TWICE);
-        } else if (surplus) {
+        } else if (surplus && frontend.connections().excess() > 0) {
             reply.keepAlive(false);
             reply.refused(OVERFLOW_COOL_DOWN_MS);
         } else {
@@ -285,7 +295,7 @@
     }
 
     private void write(ClientReply reply) {
-        boolean last = reply.isLast() || frontend.isLeaving() && replies.size() == 1;
+        boolean last = reply.isLast() || frontend.letsGo(this) && replies.size() == 1;
         if (uploading == reply) {
             // Its client still sends what nobody needs any more, and would go on with it.
             last = true;
@@ -307,7 +317,7 @@
     private void mindQuiet() {
         if (unwritten > 0) {
             guard.answering();
-        } else if (frontend.answered(this)) {
+        } else if (frontend.connections().answered(this)) {
             quietSince = frontend.clock().now();
             guard.answered();
             mindContinue();
@@ -369,7 +379,7 @@
     private void drop() {
         List<ClientReply> left = List.copyOf(replies);
         replies.clear();
-        frontend.dropped(this);
+        frontend.connections().dropped(this);
         for (ClientReply reply : left) {
             reply.ended(false);
             String open = reply.openId();
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -8,14 +8,8 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
-import java.util.stream.Stream;
 import lemonrail.core.Contract.Request;
 import lemonrail.exchange.Exchange;
 import lemonrail.exchange.Front;
@@ -36,7 +30,7 @@
     /** So long after a drain's start the front has surely noticed. */
     private static final int NOTICE_MS = 500;
     /** What has asked for nothing for so long is let go in a drain, and how often that is seen to. */
-    private static final int QUIET_MS = 300;
+    static final int QUIET_MS = 300;
     private static final int SWEEP_MS = 100;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     static final int OVERFLOW = 16;
@@ -48,13 +42,8 @@
     private final Lifecycle lifecycle;
     private final Metrics metrics;
     private final Budget budget;
-    private int most;
     private final RequestHeads heads;
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    /** Those that have asked for nothing yet or have had their last answer, the oldest first. */
-    private final Set<ClientConnection> expendable = new LinkedHashSet<>();
-    /** Those with no request in hand, the longest idle first. */
-    private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private final ConnectionTable connections;
     private SharedListener listener;
     /** Each answer is the last on its connection. */
     private boolean leaving;
@@ -69,7 +58,7 @@
         metrics = shard.metrics();
         budget = shard.budget();
         this.exchange = exchange;
-        this.most = most;
+        connections = new ConnectionTable(clock, most);
         heads = new RequestHeads(shard.settings(), exchange::settings);
     }
 
@@ -96,7 +85,7 @@
 
     @Override
     public void bound(int connections) {
-        most = connections;
+        this.connections.bound(connections);
     }
 
     @Override
@@ -156,7 +145,7 @@
     }
 
     private void letGo(Predicate<ClientConnection> which) {
-        List.copyOf(connections).stream().filter(which).forEach(ClientConnection::close);
+        connections.all().stream().filter(which).forEach(ClientConnection::close);
     }
 
     @Override
@@ -170,43 +159,8 @@
         return connections.isEmpty();
     }
 
-    /**
-     * Makes room for a new connection, if there is none; first those go that never asked for anything, and of
-     * these who has been still for a while: one that has just come is about to ask. On none of them may a
-     * request have come that is not read yet, or an answer be left to write.
-     */
-    private boolean makeRoom() {
-        while (connections.size() > most) {
-            ClientConnection gone = leastNeeded();
-            if (gone == null) {
-                return false;
-            }
-            expendable.remove(gone);
-            idle.remove(gone);
-            connections.remove(gone);
-            gone.close();
-        }
-        return true;
-    }
-
-    /** Which connection goes first, the oldest of its kind; null where each is needed. */
-    private ClientConnection leastNeeded() {
-        double settled = clock.now() - QUIET_MS;
-        return Stream.<Supplier<ClientConnection>>of(
-            () -> first(expendable, connection -> connection.isStillSince(settled) && connection.isFree()),
-            () -> first(expendable, connection -> connection.isStillSince(settled) && connection.isIdle()),
-            () -> first(expendable, ClientConnection::isIdle),
-            () -> first(idle, ClientConnection::isFree),
-            () -> first(idle, ClientConnection::isIdle))
-            .map(Supplier::get).filter(Objects::nonNull).findFirst().orElse(null);
-    }
-
-    private static ClientConnection first(Set<ClientConnection> of, Predicate<ClientConnection> which) {
-        return of.stream().filter(which).findFirst().orElse(null);
-    }
-
     private void mindAccepting() {
-        boolean room = connections.size() < most + OVERFLOW;
+        boolean room = connections.excess() < OVERFLOW;
         if (!room) {
             log.trouble("accept_paused", "no more connections are taken in",
                 connections.size() + " are open", "connections", connections.size());
@@ -240,8 +194,9 @@
         return heads;
     }
 
-    boolean isLeaving() {
-        return leaving;
+    /** Whether the answer that is due on a connection is to be its last. */
+    boolean letsGo(ClientConnection connection) {
+        return leaving || connections.isWanted(connection);
     }
 
     /** What the module is told of a request that has come just now. */
@@ -252,40 +207,19 @@
 
     /** A connection is there; false if there is no room for it. */
     boolean opened(ClientConnection connection) {
-        connections.add(connection);
-        boolean room = makeRoom();
-        expendable.add(connection);
+        boolean room = connections.add(connection);
         mindAccepting();
         return room;
     }
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        expendable.remove(connection);
-        idle.remove(connection);
         mindAccepting();
     }
 
-    /** Something has been asked on a connection: it is needed. */
-    void asked(ClientConnection connection) {
-        expendable.remove(connection);
-        idle.remove(connection);
-    }
-
-    /** All that was asked on a connection is answered; false if it is none of the open ones any more. */
-    boolean answered(ClientConnection connection) {
-        boolean open = connections.contains(connection);
-        if (open) {
-            (connection.hasAsked() ? idle : expendable).add(connection);
-        }
-        return open;
-    }
-
-    /** Nobody waits for anything on a connection. */
-    void dropped(ClientConnection connection) {
-        if (connections.contains(connection)) {
-            expendable.add(connection);
-        }
+    /** Which connections there are, and which of them make room for others. */
+    ConnectionTable connections() {
+        return connections;
     }
 
     /** A client has sent what is no request, or not in time. */
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/AskingFloodTest.java
@@ -0,0 +1,193 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Hundreds of clients connect and ask, and ask again: those that were there before are still served. */
+@Timeout(90)
+class AskingFloodTest {
+
+    private static final int DEADLINE_MS = 8000;
+    /** As many clients as there is room for with hardly a descriptor, and those of them that are reserved. */
+    private static final int ROOM = 8;
+    private static final int RESERVED = 4;
+    private static final int DESCRIPTORS = 256;
+    private static final int FLOODING = 300;
+    /** So many requests of the flood are answered before the known clients' requests count. */
+    private static final int UNDER_WAY = 1000;
+    private static final int KNOWN = 4;
+    private static final int ROUNDS = 15;
+    /** Of the known clients' requests the module may refuse so many, as it has no room for all that ask. */
+    private static final int MOST_REFUSED = KNOWN * ROUNDS / 10;
+
+    private Rig rig;
+    private final List<Wire> clients = new ArrayList<>();
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Wire client : clients) {
+            client.close();
+        }
+        rig.close();
+    }
+
+    private void start(int sockets, Fake... endpoints) throws IOException {
+        rig = new Rig(endpoints);
+        rig.sockets = sockets;
+        rig.start();
+    }
+
+    private static Fake good() throws IOException {
+        return Fake.answering(200, "", "served");
+    }
+
+    private Wire client() throws IOException {
+        Wire client = rig.client();
+        clients.add(client);
+        return client;
+    }
+
+    private Wire.Message ask(Wire client) throws IOException {
+        return client.send(rig.request("read", DEADLINE_MS)).read();
+    }
+
+    private void assertServed(Wire client, String which) throws IOException {
+        assertEquals(200, ask(client).status(), which);
+    }
+
+    /** A client that has come back on its connection. */
+    private Wire returning() throws IOException {
+        Wire client = client();
+        assertServed(client, "first");
+        assertServed(client, "again");
+        return client;
+    }
+
+    // ---- one by one ----
+
+    /** Guards against newcomers that each ask once, and each push out who has been idle the longest. */
+    @Test
+    void newcomersDoNotPushOutReturningClients() throws Exception {
+        start(1, good());
+        List<Wire> known = List.of(returning(), returning());
+        for (int i = 0; i < 5 * ROOM; i++) {
+            assertServed(client(), "newcomer " + i);
+        }
+        for (Wire client : known) {
+            assertServed(client, "known");
+        }
+    }
+
+    /** Guards against returning clients that shut all others out: a part of the room is nobody's. */
+    @Test
+    void returningClientsKeepNoMoreThanTheirShare() throws Exception {
+        start(1, good());
+        for (int i = 0; i < ROOM; i++) {
+            returning();
+        }
+        assertServed(client(), "newcomer");
+        clients.get(RESERVED).awaitEnd();
+        for (int i = 0; i < ROOM; i++) {
+            if (i != RESERVED) {
+                assertServed(clients.get(i), "returning " + i);
+            }
+        }
+    }
+
+    /** Guards against clients that are never idle, and so never make room. */
+    @Test
+    void whoIsNeverIdleHandsOnItsPlace() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Fake.Script held = (wire, request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", "served");
+        };
+        start(1, new Fake(held), new Fake(held), new Fake(held));
+        for (int i = 0; i < ROOM; i++) {
+            client().send(rig.request("read", DEADLINE_MS));
+        }
+        Rig.await("all are in hand", () -> rig.attempts() == ROOM);
+        Wire newcomer = client();
+        rig.settle();
+        release.countDown();
+        List<Wire> kept = new ArrayList<>();
+        for (Wire client : clients.subList(0, ROOM)) {
+            Wire.Message answer = client.read();
+            assertEquals(200, answer.status());
+            if ("close".equals(answer.headers().get("connection"))) {
+                client.close();
+            } else {
+                kept.add(client);
+            }
+        }
+        assertEquals(ROOM - 1, kept.size(), "one place is needed");
+        // What has come before is dealt with by the time of a second answer.
+        for (int i = 0; i < 2; i++) {
+            assertEquals(404, kept.get(0).send("GET /other HTTP/1.1\r\nHost: x\r\n\r\n").read().status());
+        }
+        assertServed(newcomer, "who found no room when it came");
+    }
+
+    // ---- all at once ----
+
+    /** Asks until it is over, on connections that it keeps as long as it may, or on ever new ones. */
+    private void flood(int number, boolean keeps, AtomicBoolean over, AtomicInteger answered) {
+        int asked = 0;
+        while (!over.get()) {
+            try (Wire client = rig.client()) {
+                do {
+                    client.send("GET /api HTTP/1.1\r\nX-Request-Id: f" + number + "-" + asked++
+                        + "\r\nX-Class: read\r\nHost: x\r\nX-Deadline-Ms: " + DEADLINE_MS + "\r\n\r\n")
+                        .read();
+                    answered.incrementAndGet();
+                } while (keeps && !over.get());
+            } catch (IOException e) {
+                // Its connection has been closed: it comes again at once.
+                continue;
+            }
+        }
+    }
+
+    /** Guards against known clients that a flood leaves without an answer: their connections were closed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void knownClientsAreServedInAnAskingFlood(boolean keeps) throws Exception {
+        start(DESCRIPTORS, good(), good(), good());
+        for (int i = 0; i < KNOWN; i++) {
+            returning();
+        }
+        AtomicBoolean over = new AtomicBoolean();
+        AtomicInteger answered = new AtomicInteger();
+        List<Thread> flooding = new ArrayList<>();
+        for (int i = 0; i < FLOODING; i++) {
+            int number = i;
+            flooding.add(new Thread(() -> flood(number, keeps, over, answered)));
+            flooding.get(i).start();
+        }
+        try {
+            Rig.await("the flood is under way", () -> answered.get() > UNDER_WAY);
+            int refused = 0;
+            for (int i = 0; i < KNOWN * ROUNDS; i++) {
+                refused += ask(clients.get(i % KNOWN)).status() == 200 ? 0 : 1;
+            }
+            assertTrue(refused <= MOST_REFUSED, refused + " of " + KNOWN * ROUNDS + " refused");
+        } finally {
+            over.set(true);
+            for (Thread each : flooding) {
+                each.join();
+            }
+        }
+    }
+}
