Lab: one least-squares line, LinearFit, where Fit and LinearFit stood

The scale runs' Fit and the path runs' LinearFit computed the same line; they differed in what they say of too few points: Fit refuses them, the path report shows NaN.

Change: LinearFit of lemonrail.lab.scale has both: of() refuses fewer than three points and points at one place, through() gives NaN there. The path report uses through(), the slopes use of(), so that no report changes. Tests are renamed with it, r2() is rSquared().

--- a/lab/src/main/java/lemonrail/lab/scale/ScaleFile.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ScaleFile.java
@@ -104,7 +104,8 @@
     /** Three numbers or more, each above the one before. */
     private static <T extends Number> ValueType<List<T>> rising(String what, int least, int most,
             Function<JsonNode, Boolean> fits, Function<JsonNode, T> read) {
-        return new ValueType<>("array", "a list of " + Fit.LEAST_POINTS + " or more rising numbers of " + what
+        return new ValueType<>("array",
+            "a list of " + LinearFit.LEAST_POINTS + " or more rising numbers of " + what
             + " from " + least + " to " + most, node -> {
                 List<T> numbers = new ArrayList<>();
                 for (JsonNode element : node) {
@@ -116,7 +117,7 @@
                     }
                     numbers.add(read.apply(element));
                 }
-                return !node.isArray() || numbers.size() < Fit.LEAST_POINTS ? null : numbers;
+                return !node.isArray() || numbers.size() < LinearFit.LEAST_POINTS ? null : numbers;
             });
     }
 
--- a/lab/src/main/java/lemonrail/lab/scale/Slope.java
+++ b/lab/src/main/java/lemonrail/lab/scale/Slope.java
@@ -13,7 +13,7 @@
  * @param name of the cost, with what stays as it is
  * @param unit of the cost for one more of what it grows with
  */
-public record Slope(String name, String against, String unit, Fit fit) {
+public record Slope(String name, String against, String unit, LinearFit fit) {
 
     /** From percent of a core for each change a second to ms of processor time for each change. */
     private static final double MS_A_PERCENT = 10;
@@ -30,7 +30,7 @@
     /** All that these points have three values or more for; void points are left out. */
     public static List<Slope> of(List<Point> points) {
         List<Slope> slopes = new ArrayList<>();
-        List<Fit.Point> perChange = new ArrayList<>();
+        List<LinearFit.Point> perChange = new ArrayList<>();
         List<Integer> sizes = points.stream().filter(point -> point.what() == Point.What.SIDECAR)
             .map(Point::listed).distinct().sorted().toList();
         for (int listed : sizes) {
@@ -40,12 +40,12 @@
                     && point.listed() == listed, Point::changesPerS,
                 point -> point.corePercent() * MS_A_PERCENT);
             if (slope != null) {
-                perChange.add(new Fit.Point(listed, slope.fit.slope()));
+                perChange.add(new LinearFit.Point(listed, slope.fit.slope()));
             }
         }
-        if (perChange.size() >= Fit.LEAST_POINTS) {
+        if (perChange.size() >= LinearFit.LEAST_POINTS) {
             slopes.add(new Slope("sidecar processor time of one change", "endpoints listed",
-                "ms an endpoint listed; intercept ms", Fit.of(perChange)));
+                "ms an endpoint listed; intercept ms", LinearFit.of(perChange)));
         }
         Predicate<Point> idle = point -> point.what() == Point.What.SIDECAR && point.changesPerS() == 0;
         add(slopes, points, "sidecar processor time without changes", "endpoints listed",
@@ -75,13 +75,13 @@
 
     private static Slope add(List<Slope> slopes, List<Point> points, String name, String against, String unit,
             Predicate<Point> which, ToDoubleFunction<Point> x, ToDoubleFunction<Point> y) {
-        List<Fit.Point> fitted = points.stream().filter(which.and(point -> !point.isVoid()))
-            .map(point -> new Fit.Point(x.applyAsDouble(point), y.applyAsDouble(point)))
-            .sorted(Comparator.comparingDouble(Fit.Point::x)).toList();
-        if (fitted.stream().mapToDouble(Fit.Point::x).distinct().count() < Fit.LEAST_POINTS) {
+        List<LinearFit.Point> fitted = points.stream().filter(which.and(point -> !point.isVoid()))
+            .map(point -> new LinearFit.Point(x.applyAsDouble(point), y.applyAsDouble(point)))
+            .sorted(Comparator.comparingDouble(LinearFit.Point::x)).toList();
+        if (fitted.stream().mapToDouble(LinearFit.Point::x).distinct().count() < LinearFit.LEAST_POINTS) {
             return null;
         }
-        Slope slope = new Slope(name, against, unit, Fit.of(fitted));
+        Slope slope = new Slope(name, against, unit, LinearFit.of(fitted));
         slopes.add(slope);
         return slope;
     }
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import lemonrail.lab.report.Charts;
+import lemonrail.lab.scale.LinearFit;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
 import lemonrail.lab.scale.path.ProcessUsage.Kind;
@@ -196,10 +197,10 @@
 
     private void fit(StringBuilder text, String what, Part part, Way way, ToDoubleFunction<PathRow> x,
             ToDoubleFunction<PathRow> y) {
-        LinearFit fit = LinearFit.of(merged(row -> row.part() == part && row.way() == way).stream().map(row ->
-            new LinearFit.Point(x.applyAsDouble(row), y.applyAsDouble(row))).toList());
+        LinearFit fit = LinearFit.through(merged(row -> row.part() == part && row.way() == way).stream()
+            .map(row -> new LinearFit.Point(x.applyAsDouble(row), y.applyAsDouble(row))).toList());
         text.append(String.format(Locale.ROOT, "| %s | %.4f | %.2f | %.3f | %d |%n", what, fit.slope(),
-            fit.intercept(), fit.r2(), fit.count()));
+            fit.intercept(), fit.rSquared(), fit.points()));
     }
 
     private void chain(StringBuilder text) {
--- a/lab/src/test/java/lemonrail/lab/scale/FitTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/LinearFitTest.java
@@ -9,13 +9,14 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-class FitTest {
+class LinearFitTest {
 
     private static final double EXACT = 1e-9;
 
     @Test
     void aLineIsFoundAgain() {
-        Fit fit = Fit.of(List.of(new Fit.Point(0, 7), new Fit.Point(10, 12), new Fit.Point(40, 27)));
+        LinearFit fit = LinearFit.of(List.of(
+            new LinearFit.Point(0, 7), new LinearFit.Point(10, 12), new LinearFit.Point(40, 27)));
         assertEquals(0.5, fit.slope(), EXACT);
         assertEquals(7, fit.intercept(), EXACT);
         assertEquals(1, fit.rSquared(), EXACT);
@@ -25,7 +26,8 @@
     @Test
     void leastSquaresByHand() {
         // Of (1, 1), (2, 3), (3, 2): mean 2, 2; slope 1 / 2, intercept 1, explained 0.5 of 2.
-        Fit fit = Fit.of(List.of(new Fit.Point(1, 1), new Fit.Point(2, 3), new Fit.Point(3, 2)));
+        LinearFit fit = LinearFit.of(List.of(
+            new LinearFit.Point(1, 1), new LinearFit.Point(2, 3), new LinearFit.Point(3, 2)));
         assertEquals(0.5, fit.slope(), EXACT);
         assertEquals(1, fit.intercept(), EXACT);
         assertEquals(0.25, fit.rSquared(), EXACT);
@@ -34,18 +36,19 @@
     @Test
     void noiseLowersWhatIsExplained() {
         Random random = new Random(5);
-        List<Fit.Point> points = new ArrayList<>();
+        List<LinearFit.Point> points = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            points.add(new Fit.Point(i, 3 * i + 100 * random.nextGaussian()));
+            points.add(new LinearFit.Point(i, 3 * i + 100 * random.nextGaussian()));
         }
-        Fit fit = Fit.of(points);
+        LinearFit fit = LinearFit.of(points);
         assertEquals(3, fit.slope(), 0.4);
         assertTrue(fit.rSquared() > 0.6 && fit.rSquared() < 0.95, "" + fit.rSquared());
     }
 
     @Test
     void whatDoesNotGrowHasNoSlope() {
-        Fit fit = Fit.of(List.of(new Fit.Point(1, 4), new Fit.Point(2, 4), new Fit.Point(3, 4)));
+        LinearFit fit = LinearFit.of(List.of(
+            new LinearFit.Point(1, 4), new LinearFit.Point(2, 4), new LinearFit.Point(3, 4)));
         assertEquals(0, fit.slope(), EXACT);
         assertEquals(1, fit.rSquared(), EXACT);
     }
@@ -53,9 +56,10 @@
     @Test
     void tooFewPointsAreNoSlope() {
         assertThrows(IllegalArgumentException.class, () ->
-            Fit.of(List.of(new Fit.Point(1, 1), new Fit.Point(2, 2))));
+            LinearFit.of(List.of(new LinearFit.Point(1, 1), new LinearFit.Point(2, 2))));
         assertThrows(IllegalArgumentException.class, () ->
-            Fit.of(List.of(new Fit.Point(1, 1), new Fit.Point(1, 2), new Fit.Point(1, 3))));
+            LinearFit.of(List.of(new LinearFit.Point(1, 1), new LinearFit.Point(1, 2),
+                new LinearFit.Point(1, 3))));
     }
 
     @Test
--- a/lab/src/test/java/lemonrail/lab/scale/path/PathVerdictTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathVerdictTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Map;
+import lemonrail.lab.scale.LinearFit;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
 import lemonrail.lab.scale.path.PathVerdict.Compared;
@@ -135,16 +136,16 @@
 
     @Test
     void aLineIsFittedByLeastSquares() {
-        LinearFit line = LinearFit.of(List.of(new LinearFit.Point(0, 3), new LinearFit.Point(10, 23),
+        LinearFit line = LinearFit.through(List.of(new LinearFit.Point(0, 3), new LinearFit.Point(10, 23),
             new LinearFit.Point(20, 43)));
         assertEquals(2, line.slope(), 1e-9);
         assertEquals(3, line.intercept(), 1e-9);
-        assertEquals(1, line.r2(), 1e-9);
+        assertEquals(1, line.rSquared(), 1e-9);
         // By hand: means 2 and 4; xx = 2, xy = 1, yy = 2.
-        LinearFit loose = LinearFit.of(List.of(new LinearFit.Point(1, 4), new LinearFit.Point(2, 3),
+        LinearFit loose = LinearFit.through(List.of(new LinearFit.Point(1, 4), new LinearFit.Point(2, 3),
             new LinearFit.Point(3, 5)));
         assertEquals(0.5, loose.slope(), 1e-9);
         assertEquals(3, loose.intercept(), 1e-9);
-        assertEquals(0.25, loose.r2(), 1e-9);
+        assertEquals(0.25, loose.rSquared(), 1e-9);
     }
 }
