Attempts' ends tell which part of their time the connection took

Change: Finished carries connectMs, from the send until the request was written whole; all of tookMs where it never was, 0 from the simulator's wire and where a large body moved the start. On a kept connection the write is handed over in the send itself. The debug line attempt_ended shows it. No decision goes by it yet.

--- a/core/src/main/java/lemonrail/core/Contract.java
+++ b/core/src/main/java/lemonrail/core/Contract.java
@@ -182,13 +182,15 @@
     /**
      * The end of one attempt; {@code concluded} when the client has had its final answer, and
      * {@code replayable} unless too much of the request has been let go for the host to send it again.
+     * {@code connectMs} is the part of {@code tookMs} before the request was written whole, which the
+     * connection took and not the server; 0 where one stood, or where the host does not know.
      */
     public record Finished(String request, int attempt, String server, Outcome outcome, double tookMs,
-            boolean concluded, boolean replayable, Load load) {
-        /** The end of an attempt whose request the host still has whole. */
+            double connectMs, boolean concluded, boolean replayable, Load load) {
+        /** The end of an attempt whose request the host still has whole, on a connection that stood. */
         public Finished(String request, int attempt, String server, Outcome outcome, double tookMs,
                 boolean concluded, Load load) {
-            this(request, attempt, server, outcome, tookMs, concluded, true, load);
+            this(request, attempt, server, outcome, tookMs, 0, concluded, true, load);
         }
 
         public Finished {
@@ -197,6 +199,13 @@
             notNegative("finished.attempt", attempt);
             notNegative("finished.took", tookMs);
             finite("finished.took", tookMs);
+            notNegative("finished.connect", connectMs);
+            finite("finished.connect", connectMs);
+        }
+
+        /** How long the server itself had the request, in milliseconds. */
+        public double servedMs() {
+            return Math.max(0, tookMs - connectMs);
         }
     }
 
--- a/core/src/test/java/lemonrail/core/policy/BadInputTest.java
+++ b/core/src/test/java/lemonrail/core/policy/BadInputTest.java
@@ -47,6 +47,8 @@
         refused("tenants[].allowance", bad, () -> new Tenant("t", bad, 1));
         refused("server.weight", bad, () -> new Server("s", 0, 0, 0, 0, State.READY, bad));
         refused("finished.took", bad, () -> new Finished("r", 0, "s", Outcome.OK, bad, true, Load.NONE));
+        refused("finished.connect", bad, () ->
+            new Finished("r", 0, "s", Outcome.OK, 5, bad, true, true, Load.NONE));
     }
 
     @Test
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -99,7 +99,7 @@
         Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
         String id = f.request(Fixture.ONCE);
         Recorder.Sent sent = f.host.last();
-        f.balancer.onFinished(f.now, new Finished(id, sent.attempt(), sent.server(), Outcome.CONNECT_ERROR, 5,
+        f.balancer.onFinished(f.now, new Finished(id, sent.attempt(), sent.server(), Outcome.CONNECT_ERROR, 5, 0,
             false, false, Load.NONE));
         assertEquals(1, f.host.sent.size());
         assertEquals(List.of(id), f.host.refused);
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -95,6 +95,8 @@
         final String server;
         /** When the endpoint could begin: the time that a large body takes is none of the endpoint's. */
         double sentAt;
+        /** How long it took from there until the request was written whole; negative before. */
+        double connectMs = -1;
         /** How long it took until a large answer's first bytes; what its client then takes is no measure. */
         double firstBytesMs = -1;
         Upstream.Attempt attempt;
@@ -412,8 +414,10 @@
 
         @Override
         public void written() {
+            made.connectMs = clock.now() - made.sentAt;
             if (open.message.rest() != null && !made.ended) {
                 made.sentAt = clock.now();
+                made.connectMs = 0;
                 made.timeout.cancel(false);
                 made.timeout = after(waitMs, () -> giveUp(open, made, Outcome.TIMED_OUT));
             }
@@ -488,9 +492,10 @@
             made.timeout.cancel(false);
         }
         double took = made.firstBytesMs >= 0 ? made.firstBytesMs : clock.now() - made.sentAt;
+        double connect = made.connectMs >= 0 ? Math.min(made.connectMs, took) : took;
         if (log.tellsAll()) {
             tell("attempt_ended", open, "endpoint", made.server, "attempt", made.number, "outcome",
-                outcome.name().toLowerCase(Locale.ROOT), "took_ms", took);
+                outcome.name().toLowerCase(Locale.ROOT), "took_ms", took, "connect_ms", connect);
         }
         if (open.stream == made) {
             open.stream = null;
@@ -498,7 +503,7 @@
         raise(open, now -> {
             open.out--;
             module.onFinished(now, new Finished(open.request.id(), made.number, made.server, outcome, took,
-                open.concluded, open.message.isReplayable(), Load.NONE));
+                connect, open.concluded, open.message.isReplayable(), Load.NONE));
         });
     }
 
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/ConnectTimeTest.java
@@ -0,0 +1,101 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lemonrail.core.Contract.Events;
+import lemonrail.core.Contract.Finished;
+import lemonrail.core.Contract.Outcome;
+import lemonrail.core.Decider;
+import lemonrail.core.policy.Decide;
+import org.junit.jupiter.api.Test;
+
+/** The decisions are told which part of an attempt's time passed before its request was written whole. */
+class ConnectTimeTest {
+
+    private static final int DEADLINE_MS = 9000;
+    private static final int HELD_MS = 40;
+
+    private final List<Finished> ends = new CopyOnWriteArrayList<>();
+
+    /** The project's own decider, with the ends of attempts noted on their way to it. */
+    private Decider noting() {
+        return (settings, seed, host) -> {
+            Events decide = new Decide(settings, seed, host);
+            Class<?>[] kinds = {Events.class};
+            return (Events) Proxy.newProxyInstance(Events.class.getClassLoader(), kinds,
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("onFinished")) {
+                        ends.add((Finished) arguments[1]);
+                    }
+                    return method.invoke(decide, arguments);
+                });
+        };
+    }
+
+    private Finished end(int number) throws InterruptedException {
+        Rig.await("attempt " + number + " has ended", () -> ends.size() > number);
+        return ends.get(number);
+    }
+
+    @Test
+    void aLateConnectionIsTold() throws Exception {
+        try (LateFake late = new LateFake(); Rig rig = new Rig()) {
+            rig.change = config -> config.replace("\"servers\":[]",
+                "\"servers\":[" + Rig.line(0, late.address(), "in_service", 0) + "]");
+            rig.start(noting());
+            try (Wire client = rig.client()) {
+                client.send(rig.request("order", DEADLINE_MS));
+                Rig.await("it waits for its connection", () -> rig.inHand() == 1);
+                long waits = System.nanoTime();
+                Rig.await("some time", () -> System.nanoTime() - waits >= TimeUnit.MILLISECONDS.toNanos(HELD_MS));
+                late.release();
+                assertEquals("late", client.read().body());
+            }
+            assertEquals(Outcome.OK, end(0).outcome());
+            assertTrue(end(0).connectMs() >= HELD_MS, end(0).toString());
+            assertTrue(end(0).connectMs() <= end(0).tookMs(), end(0).toString());
+        }
+    }
+
+    @Test
+    void aSlowAnswerOnAConnectionThatStandsIsTheEndpoints() throws Exception {
+        CountDownLatch asked = new CountDownLatch(2);
+        CountDownLatch release = new CountDownLatch(1);
+        try (Fake slow = new Fake((wire, request) -> {
+            asked.countDown();
+            if (asked.getCount() == 0) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", "slow");
+        }); Rig rig = new Rig(slow).start(noting()); Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS)).read();
+            rig.settle();
+            client.send(rig.request("order", DEADLINE_MS));
+            asked.await();
+            long waits = System.nanoTime();
+            Rig.await("some time", () -> System.nanoTime() - waits >= TimeUnit.MILLISECONDS.toNanos(HELD_MS));
+            release.countDown();
+            client.read();
+            assertEquals(1, slow.connections.get(), "one connection serves both");
+            assertTrue(end(1).servedMs() >= HELD_MS, end(1).toString());
+        }
+    }
+
+    @Test
+    void whatWasNeverWrittenWasAllTheConnections() throws Exception {
+        try (LateFake late = new LateFake(); Rig rig = new Rig()) {
+            rig.change = config -> config.replace("\"servers\":[]",
+                "\"servers\":[" + Rig.line(0, late.address(), "in_service", 0) + "]");
+            rig.start(noting());
+            assertEquals(503, rig.ask("order", HELD_MS).status());
+            assertEquals(Outcome.CONNECT_ERROR, end(0).outcome());
+            assertEquals(end(0).tookMs(), end(0).connectMs());
+        }
+    }
+}
