The limit goes by the server's own time, keeps a call a server, and comes back when cut alone

Change: the limit, the time-out's verdict, the slowness and the learned times take servedMs, without the connection's part. The floor is this balancer's part of one call for each able server, as a call that is alone crowds nothing. The comfort is reduced by the part that a balancer has of four calls a server, not by a limit that it was cut to; where balancers outnumber servers nothing changes.

Measured: aLateDialIsNotTakenForCrowding (60 calls at once, 2 with tookMs) and aBalancerThatWasCutAloneComesBack (fails with either half taken back: 1 call at once, or 2 for good) fail without.

--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -229,7 +229,7 @@
     private static boolean isFailure(Call call, Finished finished) {
         return switch (finished.outcome()) {
             case FAILED, CONNECT_ERROR, RESET -> true;
-            case TIMED_OUT -> finished.tookMs() >= call.learned.tailMs();
+            case TIMED_OUT -> finished.servedMs() >= call.learned.tailMs();
             default -> false;
         };
     }
@@ -237,11 +237,11 @@
     private void learn(double now, Call call, Target target, Finished finished) {
         boolean ok = finished.outcome() == Outcome.OK;
         if (ok || finished.outcome() == Outcome.TIMED_OUT) {
-            call.learned.waited(finished.tookMs());
-            health.waited(now, target, call.learned, finished.tookMs());
+            call.learned.waited(finished.servedMs());
+            health.waited(now, target, call.learned, finished.servedMs());
         }
         if (ok) {
-            call.learned.answered(finished.tookMs());
+            call.learned.answered(finished.servedMs());
         }
     }
 
--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -6,9 +6,9 @@
 /** How many calls may be out at once, learned from outcomes, and who is turned away. */
 final class Limit {
 
-    /** Calls a server, over all balancers, that the limit starts from, and that it stays above. */
+    /** Calls a server, over all balancers, that the limit starts from, and that it keeps: one is no crowd. */
     static final double FIRST_CALLS = 4;
-    private static final double LEAST_CALLS = 0.5;
+    private static final double LEAST_CALLS = 1;
     /** What is left of the remembered peak after one refill pause. */
     private static final double PEAK_DECAY = 0.996;
     /** The share of the pool's bound kept for calls of more worth. */
@@ -136,7 +136,7 @@
     /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
     void judge(double now, Call call, Call.Attempt attempt, Finished finished) {
         lastEnd = now;
-        lastTook = finished.tookMs();
+        lastTook = finished.servedMs();
         Target target = attempt.slot().target;
         if (!tellsOfCrowding(finished.outcome())
                 || finished.outcome() == Outcome.TIMED_OUT && health.hangs(now, target)) {
@@ -155,7 +155,7 @@
         pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (pressure > comfort()) {
             if (now >= nextCut) {
-                limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
+                limit = Math.max(share(LEAST_CALLS), Math.min(limit, peak + 1) * CUT);
                 nextCut = now + call.learned.typicalMs();
             }
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
@@ -177,7 +177,8 @@
      */
     private static double excess(Call call, Finished finished) {
         double base = call.learned.baseMs();
-        double ratio = (finished.tookMs() - base) / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4);
+        double aim = call.kind.aimMs();
+        double ratio = (finished.servedMs() - base) / Math.max(aim - base, aim / 4);
         // How long it would have taken is not known of an answer that has not come.
         double least = finished.outcome() == Outcome.OK ? -MOST_EXCESS : 0;
         return Math.max(least, Math.min(MOST_EXCESS, ratio));
@@ -189,9 +190,15 @@
             >= Math.max(FIRST_CALLS, CASCADE * Math.max(1, limit) * settings.balancers() / ranks.ready);
     }
 
-    /** With a call or two at once answers are few and a step is large: such balancers keep further off. */
+    /** Whose part is a call or two has few answers, large steps, and keeps off; not who was cut to it. */
     private double comfort() {
-        return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, limit / AMPLE_LIMIT));
+        double part = Math.max(limit, share(FIRST_CALLS));
+        return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, part / AMPLE_LIMIT));
+    }
+
+    /** Its part of so many calls a server. */
+    private double share(double calls) {
+        return calls * capacity / settings.balancers();
     }
 
     /** Its part of one call a server: all balancers together move the fleet by that, however many. */
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -635,6 +635,37 @@
         assertTrue(atOnceAfter(f, 100, 700, 60) >= 8, "and over when it is");
     }
 
+    /** Guards against late connections that pass for crowding: the dial is no work of the server. */
+    @Test
+    void aLateDialIsNotTakenForCrowding() {
+        Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(20));
+        int before = atOnceAfter(f, 100, 60);
+        for (int round = 0; round < 60; round++) {
+            int from = f.host.sent.size();
+            for (int i = 0; i < 60; i++) {
+                f.request(Fixture.REPEATABLE);
+            }
+            List<Recorder.Sent> out = List.copyOf(f.host.sent.subList(from, f.host.sent.size()));
+            f.now += 900;
+            for (Recorder.Sent sent : out) {
+                f.balancer.onFinished(f.now, new Finished(sent.request(), sent.attempt(), sent.server(),
+                    Outcome.OK, 900, 800, true, true, Load.NONE));
+            }
+        }
+        assertTrue(takenAtOnce(f) >= before, before + " calls at once before, " + takenAtOnce(f) + " after");
+    }
+
+    /** Guards against one balancer that is cut by a slow moment and stays at a call where others have many. */
+    @Test
+    void aBalancerThatWasCutAloneComesBack() {
+        Fixture f = Fixture.of(3, 0, 0).list(Fixture.servers(4));
+        atOnceAfter(f, 100, 40);
+        int cut = atOnceAfter(f, 950, 40);
+        assertEquals(2, cut, "no server is crowded by a call alone: four over three balancers");
+        int back = atOnceAfter(f, 260, 16);
+        assertTrue(back >= 8, back + " calls at once after answers that a larger limit bears");
+    }
+
     /** A call comes every 100 ms; each that is taken is answered in the time given before the next comes. */
     private static int callsTakenInASecond(Fixture f, double tookMs) {
         int before = f.host.sent.size();
