--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import lemonrail.core.AnswerTimes;
 import lemonrail.core.Contract.*;
+import lemonrail.core.TroubleReport;
 
 /**
  * One balancer after Boxcar: a bounded pool of ranked slots on servers; every call takes the lowest-ranked
@@ -18,8 +19,6 @@
  */
 public final class Decide implements Events {
 
-    /** The operators get a line on trouble at most once in this time. */
-    private static final double REPORT_MS = 10_000;
     /** The most servers placed anew for each change of the list, however fast changes come. */
     private static final int SETTLED_A_CHANGE = 32;
     /** Name of the timer for the next request for the list. */
@@ -39,11 +38,11 @@
     private final Health health;
     private final Limit limit;
     private final Retries retries;
+    private final TroubleReport report = new TroubleReport();
     /** The pause between refills: by it, too, ranks may lag behind the list. */
     private final double pauseMs;
     private double nextRefill;
     private double nextSettle;
-    private double nextReport;
     private int askFailures;
 
     /** A balancer that knows its settings and nothing else; it acts through {@code host}. */
@@ -58,8 +57,8 @@
         cold = new Cold(settings, ranks);
         locality = new Locality(settings, ranks);
         pool = new Pool(settings, ranks, cold, locality, host);
-        health = new Health(settings, pool);
-        limit = new Limit(settings, ranks, health, locality);
+        health = new Health(settings, pool, report);
+        limit = new Limit(settings, ranks, health, locality, report);
         retries = new Retries(settings);
         if (settings.asksForList()) {
             askForList(settings.rules().askWithinMs() / 2);
@@ -269,7 +268,10 @@
         nextRefill = now + pauseMs;
         settle(now);
         locality.tick(now, pauseMs);
-        report(now);
+        String line = report.due(now, settings.tier(), limit.limit, health.ailing, ranks.ready);
+        if (line != null) {
+            host.log(line);
+        }
         health.tick(now);
         cold.tick(now, target -> pool.reprice(now, target, false));
         limit.resize(cold.able(now));
@@ -285,23 +287,6 @@
         }
     }
 
-    /** Tells the operators what the last while was like, if there was anything to tell. */
-    private void report(double now) {
-        if (now < nextReport) {
-            return;
-        }
-        if (limit.turnedAway + health.fullServers + health.ejections > 0) {
-            host.log("tier " + settings.tier() + ": " + limit.turnedAway + " calls turned away at a limit of "
-                + Math.round(limit.limit) + " at once, " + health.fullServers
-                + " attempts met a full server, " + health.ejections + " times a server was put on trial; "
-                + health.ailing + " of " + ranks.ready + " on trial now");
-        }
-        limit.turnedAway = 0;
-        health.fullServers = 0;
-        health.ejections = 0;
-        nextReport = now + REPORT_MS;
-    }
-
     @Override
     public void onServers(double now, ListKind kind, List<Server> entries) {
         if (kind == ListKind.FAILED) {
--- a/core/src/main/java/lemonrail/core/policy/Health.java
+++ b/core/src/main/java/lemonrail/core/policy/Health.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import lemonrail.core.AnswerTimes;
 import lemonrail.core.Contract.*;
+import lemonrail.core.TroubleReport;
 
 /** The servers' health: who pauses after a failure, and who is on trial. */
 final class Health {
@@ -21,11 +22,10 @@
     private final List<Target> paused = new ArrayList<>();
     /** Servers on trial. */
     int ailing;
-    /** Since the last report: attempts that met a full server, and servers put on trial. */
-    int fullServers;
-    int ejections;
+    private final TroubleReport report;
 
-    Health(Settings settings, Pool pool) {
+    Health(Settings settings, Pool pool, TroubleReport report) {
+        this.report = report;
         this.pool = pool;
         connectTimeoutMs = settings.limits().connectTimeoutMs();
     }
@@ -57,7 +57,7 @@
             recover(now, target);
         }
         if (outcome == Outcome.QUEUE_FULL) {
-            fullServers++;
+            report.metFullServer();
             // It is crowded, not sick: no other slot is taken there for a while.
             pool.drop(slot);
             pause(now, target, connectTimeoutMs);
@@ -105,7 +105,7 @@
         if (!target.onTrial) {
             target.onTrial = true;
             ailing++;
-            ejections++;
+            report.ejected();
         }
         pause(now, target, connectTimeoutMs * (1 << target.strikes));
         if (target.strikes > 1) {
--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -2,6 +2,7 @@
 
 import lemonrail.core.Contract.*;
 import lemonrail.core.TokenBucket;
+import lemonrail.core.TroubleReport;
 
 /** How many calls may be out at once, learned from outcomes, and who is turned away. */
 final class Limit {
@@ -50,13 +51,14 @@
     private double pressure;
     private double nextCut;
     private double quickUntil;
-    /** Calls turned away since the last report, and when one within its tenant's share last was. */
-    int turnedAway;
+    private final TroubleReport report;
+    /** When a call within its tenant's share was last turned away. */
     private double shareTurnedAway = Double.NEGATIVE_INFINITY;
     /** This balancer's part of each tenant's allowance. */
     private final TokenBucket[] allowances;
 
-    Limit(Settings settings, Ranks ranks, Health health, Locality locality) {
+    Limit(Settings settings, Ranks ranks, Health health, Locality locality, TroubleReport report) {
+        this.report = report;
         this.settings = settings;
         this.ranks = ranks;
         this.health = health;
@@ -97,7 +99,7 @@
         boolean admitted = hasRoom(now, call);
         if (!admitted) {
             shareTurnedAway = call.withinShare ? now : shareTurnedAway;
-            turnedAway++;
+            report.turnedAway();
         }
         return admitted;
     }
