A dial that fails by chance puts no server on trial and pauses none

Ruled out: dials that come up late within their time are few (3 in 100 answers).

Change: core.DialChance learns how often dials fail at servers that prove well, from failures that a connection to the same server has come up after, two in a row at most, so that dead servers teach nothing. Failures in a row that are likelier than 1 in 20 by that are not held against the server: the slot goes, the call goes on.

--- a/core/src/main/java/lemonrail/core/policy/Health.java
+++ b/core/src/main/java/lemonrail/core/policy/Health.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import lemonrail.core.AnswerTimes;
 import lemonrail.core.Contract.*;
+import lemonrail.core.DialChance;
 import lemonrail.core.TroubleReport;
 
 /** The servers' health: who pauses after a failure, and who is on trial. */
@@ -23,6 +24,7 @@
     /** Servers on trial. */
     int ailing;
     private final TroubleReport report;
+    private final DialChance dials = new DialChance();
 
     Health(Settings settings, Pool pool, TroubleReport report) {
         this.report = report;
@@ -43,7 +45,11 @@
     void judge(double now, Slot slot, Outcome outcome, boolean failed) {
         Target target = slot.target;
         boolean alive = learnConnection(slot, outcome);
-        if (alive) {
+        if (outcome == Outcome.CONNECT_ERROR && dials.explains(target.connectsFailed)) {
+            // As many fail at servers that are well: the call goes elsewhere, and nothing is held against it.
+            pool.drop(slot);
+            pool.offer(now, target);
+        } else if (alive) {
             pool.drop(slot);
             pause(now, target, connectTimeoutMs * 2);
         } else if (failed && !blamedOnShared()) {
@@ -69,15 +75,14 @@
         if (!slot.connected && outcome != Outcome.CANCELED && outcome != Outcome.IGNORED) {
             pool.connected(outcome == Outcome.CONNECT_ERROR);
         }
-        slot.connected = outcome == Outcome.OK || outcome == Outcome.FAILED || outcome == Outcome.QUEUE_FULL;
-        if (outcome == Outcome.OK) {
-            slot.target.connectFailed = false;
-        }
-        if (outcome != Outcome.CONNECT_ERROR || slot.target.connectFailed) {
-            return false;
+        boolean cameUp = outcome == Outcome.OK || outcome == Outcome.FAILED || outcome == Outcome.QUEUE_FULL;
+        if (cameUp && (!slot.connected || slot.target.connectsFailed > 0)) {
+            dials.cameUp(slot.target.connectsFailed);
+            slot.target.connectsFailed = 0;
         }
-        slot.target.connectFailed = pool.hasOtherConnected(slot);
-        return slot.target.connectFailed;
+        slot.connected = cameUp;
+        return outcome == Outcome.CONNECT_ERROR && ++slot.target.connectsFailed == 1
+            && pool.hasOtherConnected(slot);
     }
 
     /** When half of all servers look bad, something they share is: giving them up would leave none. */
--- a/core/src/main/java/lemonrail/core/policy/Target.java
+++ b/core/src/main/java/lemonrail/core/policy/Target.java
@@ -27,8 +27,8 @@
     /** How crowded it is by its answers of late, in the measure of the pressure. */
     double crowding;
     double pausedUntil;
-    /** A connect has failed, though other connections stand, and nothing was answered since. */
-    boolean connectFailed;
+    /** Connects that failed in a row, with nothing answered since. */
+    int connectsFailed;
     /** After failures: one slot at a time until it has answered often enough. */
     boolean onTrial;
     int trialAnswers;
--- a/core/src/test/java/lemonrail/core/SharedPartsTest.java
+++ b/core/src/test/java/lemonrail/core/SharedPartsTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.stream.IntStream;
 import lemonrail.core.Contract.Effect;
 import lemonrail.core.Contract.Group;
@@ -185,4 +186,26 @@
         assertFalse(Group.CELL.holds(one, other));
         assertEquals(State.DRAINING, one.with(State.DRAINING).state());
     }
+
+    /** Guards against servers that are avoided by chance, and against dead ones that pass for chance. */
+    @Test
+    void failedDialsAreChanceWhereServersThatAreWellHaveThemToo() {
+        DialChance calm = new DialChance();
+        calm.cameUp(0);
+        assertFalse(calm.explains(1), "none fails where all is well");
+        DialChance late = new DialChance();
+        Random random = new Random(5);
+        for (int i = 0; i < 200; i++) {
+            int failed = 0;
+            while (random.nextInt(3) == 0) {
+                failed++;
+            }
+            late.cameUp(failed);
+        }
+        assertTrue(late.explains(1), "one in three fails");
+        assertFalse(late.explains(4), "four in a row are beyond that");
+        DialChance back = new DialChance();
+        back.cameUp(9);
+        assertFalse(back.explains(2), "a server that was away for a while makes no others' failures chance");
+    }
 }
--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import lemonrail.core.Contract;
 import lemonrail.core.Contract.Finished;
@@ -434,6 +435,28 @@
         assertTrue(!f.host.last().server().equals(left.server()), "not trusted any more");
     }
 
+    /** Guards against trials by chance, where a third of all connections come up too late, at any server. */
+    @Test
+    void dialsThatFailByChancePutFewServersOnTrial() {
+        Fixture f = Fixture.of(3, 0, 1).list(Fixture.servers(4));
+        Random random = new Random(11);
+        int avoided = 0;
+        int rounds = 600;
+        for (int round = 0; round < rounds; round++) {
+            f.now += 50;
+            f.request(Fixture.REPEATABLE);
+            avoided += round < 100 ? 0 : f.balancer.avoided(f.now);
+            int sent;
+            do {
+                sent = f.host.sent.size();
+                boolean late = random.nextInt(3) == 0;
+                f.now += late ? 200 : 20;
+                f.finish(f.host.last(), late ? Outcome.CONNECT_ERROR : Outcome.OK, late ? 200 : 20);
+            } while (f.host.sent.size() > sent);
+        }
+        assertTrue(avoided < 4 * (rounds - 100) / 10, avoided + " of " + 4 * (rounds - 100) + " are avoided");
+    }
+
     // ---- crowding ----
 
     /**
