What was slow before a cut of the limit does not cut it again

Ruled out: cuts further apart, as real crowding then outlasts them (aSpreadOfWorkIsNotTakenForCrowding).

--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -689,6 +689,28 @@
         assertTrue(back >= 8, back + " calls at once after answers that a larger limit bears");
     }
 
+    /** Guards against one answer that took long by chance and cuts again with each quick one behind it. */
+    @Test
+    void oneLongAnswerCutsASmallLimitOnce() {
+        Fixture f = Fixture.of(3, 0, 0).list(Fixture.servers(4));
+        oneAfterAnother(f, 40, 100);
+        oneAfterAnother(f, 30, 220);
+        int before = takenAtOnce(f);
+        oneAfterAnother(f, 1, 1900);
+        oneAfterAnother(f, 12, 220);
+        int after = takenAtOnce(f);
+        assertEquals(6, before, "four calls a server over three balancers");
+        assertEquals(5, after, "one cut");
+    }
+
+    private static void oneAfterAnother(Fixture f, int calls, double tookMs) {
+        for (int i = 0; i < calls; i++) {
+            f.request(Fixture.REPEATABLE);
+            f.now += tookMs;
+            f.finish(f.host.last(), Outcome.OK, tookMs);
+        }
+    }
+
     /** A call comes every 100 ms; each that is taken is answered in the time given before the next comes. */
     private static int callsTakenInASecond(Fixture f, double tookMs) {
         int before = f.host.sent.size();
