--- a/core/src/test/java/lemonrail/core/policy/DecideTest.java
+++ b/core/src/test/java/lemonrail/core/policy/DecideTest.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import lemonrail.core.Contract;
 import lemonrail.core.Contract.Finished;
@@ -99,7 +100,7 @@
         Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
         String id = f.request(Fixture.ONCE);
         Recorder.Sent sent = f.host.last();
-        f.balancer.onFinished(f.now, new Finished(id, sent.attempt(), sent.server(), Outcome.CONNECT_ERROR, 5,
+        f.balancer.onFinished(f.now, new Finished(id, sent.attempt(), sent.server(), Outcome.CONNECT_ERROR, 5, 0,
             false, false, Load.NONE));
         assertEquals(1, f.host.sent.size());
         assertEquals(List.of(id), f.host.refused);
@@ -434,6 +435,28 @@
         assertTrue(!f.host.last().server().equals(left.server()), "not trusted any more");
     }
 
+    /** Guards against trials by chance, where a third of all connections come up too late, at any server. */
+    @Test
+    void dialsThatFailByChancePutFewServersOnTrial() {
+        Fixture f = Fixture.of(3, 0, 1).list(Fixture.servers(4));
+        Random random = new Random(11);
+        int avoided = 0;
+        int rounds = 600;
+        for (int round = 0; round < rounds; round++) {
+            f.now += 50;
+            f.request(Fixture.REPEATABLE);
+            avoided += round < 100 ? 0 : f.balancer.avoided(f.now);
+            int sent;
+            do {
+                sent = f.host.sent.size();
+                boolean late = random.nextInt(3) == 0;
+                f.now += late ? 200 : 20;
+                f.finish(f.host.last(), late ? Outcome.CONNECT_ERROR : Outcome.OK, late ? 200 : 20);
+            } while (f.host.sent.size() > sent);
+        }
+        assertTrue(avoided < 4 * (rounds - 100) / 10, avoided + " of " + 4 * (rounds - 100) + " are avoided");
+    }
+
     // ---- crowding ----
 
     /**
@@ -635,6 +658,59 @@
         assertTrue(atOnceAfter(f, 100, 700, 60) >= 8, "and over when it is");
     }
 
+    /** Guards against late connections that pass for crowding: the dial is no work of the server. */
+    @Test
+    void aLateDialIsNotTakenForCrowding() {
+        Fixture f = Fixture.of(10, 0, 0).list(Fixture.servers(20));
+        int before = atOnceAfter(f, 100, 60);
+        for (int round = 0; round < 60; round++) {
+            int from = f.host.sent.size();
+            for (int i = 0; i < 60; i++) {
+                f.request(Fixture.REPEATABLE);
+            }
+            List<Recorder.Sent> out = List.copyOf(f.host.sent.subList(from, f.host.sent.size()));
+            f.now += 900;
+            for (Recorder.Sent sent : out) {
+                f.balancer.onFinished(f.now, new Finished(sent.request(), sent.attempt(), sent.server(),
+                    Outcome.OK, 900, 800, true, true, Load.NONE));
+            }
+        }
+        assertTrue(takenAtOnce(f) >= before, before + " calls at once before, " + takenAtOnce(f) + " after");
+    }
+
+    /** Guards against one balancer that is cut by a slow moment and stays at a call where others have many. */
+    @Test
+    void aBalancerThatWasCutAloneComesBack() {
+        Fixture f = Fixture.of(3, 0, 0).list(Fixture.servers(4));
+        atOnceAfter(f, 100, 40);
+        int cut = atOnceAfter(f, 950, 40);
+        assertEquals(2, cut, "no server is crowded by a call alone: four over three balancers");
+        int back = atOnceAfter(f, 260, 16);
+        assertTrue(back >= 8, back + " calls at once after answers that a larger limit bears");
+    }
+
+    /** Guards against one answer that took long by chance and cuts again with each quick one behind it. */
+    @Test
+    void oneLongAnswerCutsASmallLimitOnce() {
+        Fixture f = Fixture.of(3, 0, 0).list(Fixture.servers(4));
+        oneAfterAnother(f, 40, 100);
+        oneAfterAnother(f, 30, 220);
+        int before = takenAtOnce(f);
+        oneAfterAnother(f, 1, 1900);
+        oneAfterAnother(f, 12, 220);
+        int after = takenAtOnce(f);
+        assertEquals(6, before, "four calls a server over three balancers");
+        assertEquals(5, after, "one cut");
+    }
+
+    private static void oneAfterAnother(Fixture f, int calls, double tookMs) {
+        for (int i = 0; i < calls; i++) {
+            f.request(Fixture.REPEATABLE);
+            f.now += tookMs;
+            f.finish(f.host.last(), Outcome.OK, tookMs);
+        }
+    }
+
     /** A call comes every 100 ms; each that is taken is answered in the time given before the next comes. */
     private static int callsTakenInASecond(Fixture f, double tookMs) {
         int before = f.host.sent.size();
