A server that has just turned warm is offered its further slots at once

Seen: a server that was cold keeps to one call at a time after it is warm, and a call that finds no other slot is refused. Cause: Cold.tick hands it to Pool.reprice, which returns where the cost has not moved, so Pool.offer, which allows one slot while it is cold, is not asked again until the list changes or a slot is dropped.

Change: the last tick, at which it is warm, offers it whatever its cost.

Measured: ColdTest fails without the change (1 call sent of 3) and passes with it; the tests of core pass.

--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -271,7 +271,7 @@
         locality.tick(now, pauseMs);
         report(now);
         health.tick(now);
-        cold.tick(now, target -> pool.reprice(now, target, false));
+        cold.tick(now, target -> pool.reprice(now, target, cold.warmth(now, target) >= 1));
         limit.resize(cold.able(now));
         pool.refill(now, limit.fadingPeak());
     }
