--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -54,9 +54,9 @@
         learned = settings.classes().stream().map(AnswerTimes::new).toArray(AnswerTimes[]::new);
         anyRepeatable = settings.classes().stream().anyMatch(kind -> kind.effect() != Effect.ONCE);
         ranks = new Ranks(settings);
-        cold = new Cold(settings, ranks);
+        cold = new Cold(ranks);
         locality = new Locality(settings, ranks);
-        pool = new Pool(settings, ranks, cold, locality, host);
+        pool = new Pool(ranks, cold, locality, host);
         health = new Health(settings, pool, report);
         limit = new Limit(settings, ranks, health, locality, report);
         retries = new Retries(settings);
@@ -108,7 +108,9 @@
         calls.put(request.id(), call);
         locality.demand(call.learned.baseMs());
         retries.taken();
-        if (!limit.admits(now, call) || !place(now, call)) {
+        boolean placed = limit.admits(now, call) && place(now, call);
+        cold.answers.came(placed);
+        if (!placed) {
             answer(call);
         }
     }
@@ -241,6 +243,7 @@
         }
         if (ok) {
             call.learned.answered(finished.servedMs());
+            cold.answers.served();
         }
     }
 
@@ -273,7 +276,7 @@
             host.log(line);
         }
         health.tick(now);
-        cold.tick(now, target -> pool.reprice(now, target, false));
+        cold.tick(now, target -> pool.reprice(now, target, cold.warmth(now, target) >= 1));
         limit.resize(cold.able(now));
         pool.refill(now, limit.fadingPeak());
     }
