--- a/edge/src/main/java/lemonrail/cli/Main.java
+++ b/edge/src/main/java/lemonrail/cli/Main.java
@@ -27,6 +27,9 @@
     /** The variable that names the configuration where no option does. */
     static final String CONFIG_VARIABLE = "GW_CONFIG";
 
+    /** Netty's property for its events in Java's flight recorder. */
+    private static final String NETTY_RECORDER = "io.netty.jfr.enabled";
+
     private Main() {
     }
 
@@ -39,7 +42,7 @@
         } else if (only.equals("benchlink")) {
             status = benchlink(System.err);
         } else {
-            quietNetty();
+            leanNetty();
             status = CommandLineCalls.run(args);
         }
         if (status != OK) {
@@ -47,8 +50,15 @@
         }
     }
 
-    /** Netty takes SLF4J where it finds it, and with it the time to load all of that; few need it. */
-    private static void quietNetty() {
+    /**
+     * Has Netty leave out what few need and each start would pay for: SLF4J, which it takes where it finds it,
+     * and events of its buffers for Java's flight recorder, which load and generate that recorder's classes.
+     * Whoever sets the recorder's property keeps its events.
+     */
+    private static void leanNetty() {
+        if (System.getProperty(NETTY_RECORDER) == null) {
+            System.setProperty(NETTY_RECORDER, "false");
+        }
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     }
 
@@ -73,7 +83,7 @@
 
     /** Starts an edge, to run until SIGTERM; returns the exit status of a start that failed. */
     static int serve(Path file, PrintStream errors) {
-        quietNetty();
+        leanNetty();
         return new Serving(file, System.getenv(), errors).start();
     }
 }
--- a/edge/src/test/java/lemonrail/cli/MainTest.java
+++ b/edge/src/test/java/lemonrail/cli/MainTest.java
@@ -37,16 +37,40 @@
 
     /** The same through another command, which gets the program's own as its arguments. */
     private Process serve(String config, List<String> through) throws IOException {
+        return serve(config, through, List.of());
+    }
+
+    /** The same with further options of the JVM. */
+    private Process serve(String config, List<String> through, List<String> options) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), config);
         List<String> command = new ArrayList<>(through);
         command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "-XX:TieredStopAtLevel=1"));
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"),
             "lemonrail.cli.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", file.toString());
         return builder.redirectErrorStream(true).start();
     }
 
+    /**
+     * Guards against starts that pay for the flight recorder: Netty's buffers have events for it, and the
+     * first buffer of each kind had its classes loaded and code for them generated, on the event loop.
+     */
+    @Test
+    void aStartLoadsNothingOfTheFlightRecorder() throws Exception {
+        Process process = serve(CONFIG, List.of(), List.of("-Xlog:class+load"));
+        try (BufferedReader log = process.inputReader()) {
+            List<String> loaded = linesUntil(log, "warm after");
+            assertTrue(loaded.stream().anyMatch(line -> line.contains("io.netty.buffer.")));
+            assertEquals(List.of(), loaded.stream()
+                .filter(line -> line.contains("jdk.jfr.internal.handlers")).toList());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /** Guards against a planned restart that counts as a crash: after SIGTERM it exits with 0. */
     @Test
     void aStopBySignalIsACleanExit() throws Exception {
@@ -103,11 +127,19 @@
     }
 
     private static void awaitLine(BufferedReader log, String part) throws IOException {
+        linesUntil(log, part);
+    }
+
+    /** The lines up to one with this part; that none comes is a failure. */
+    private static List<String> linesUntil(BufferedReader log, String part) throws IOException {
+        List<String> lines = new ArrayList<>();
         String line = log.readLine();
         while (line != null && !line.contains(part)) {
+            lines.add(line);
             line = log.readLine();
         }
         assertNotEquals(null, line, "it goes on to say: " + part);
+        return lines;
     }
 
     @Test
