Late answers are counted and traced; loop lateness is a figure; a pool may hold 1,024 slots

Need: operators must see which answers came too late and where their time went, and no cap may lie below 1,024 servers. Change: Exchange tells `late_answer` (damped to one a second) and counts `answers_late`; LoopLag keeps a histogram, shown as `loop_late_ms` and `loop_late.over_Nms`. CEILING is 1,024.

--- a/core/src/main/java/lemonrail/core/policy/Pool.java
+++ b/core/src/main/java/lemonrail/core/policy/Pool.java
@@ -9,8 +9,8 @@
 /** The bounded pool of slots, the lowest rank first, and those next outside it. */
 final class Pool {
 
-    /** The most slots a pool may hold, whatever the fleet's size. */
-    static final int CEILING = 256;
+    /** The most slots a pool may hold, whatever the fleet's size: one on each of the largest list. */
+    static final int CEILING = 1024;
     /** The fewest it aims for, and the multiple of the recent peak of calls at once that it else does. */
     private static final int FLOOR = 4;
     private static final double HEADROOM = 1.25;
--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -213,6 +213,12 @@
         door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
         metrics.gauge("log_dropped", sink::dropped);
         metrics.gauge("log_suppressed", log::suppressed);
+        metrics.gauge("loop_late_ms", () -> (int) Math.ceil(lag.recentMs()));
+        int[] boundsMs = LoopLag.boundsMs();
+        for (int i = 0; i < boundsMs.length; i++) {
+            int bound = i;
+            metrics.gauge("loop_late.over_" + boundsMs[i] + "ms", () -> lag.timesOver(bound));
+        }
         metrics.gauge("targets", suspensions::listed);
         metrics.gauge("targets_disabled", () -> suspensions.listedSuspended() + exchange.avoided());
         loop.scheduleWithFixedDelay(this::lookRound, LOOK_ROUND_MS, LOOK_ROUND_MS, TimeUnit.MILLISECONDS);
--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -27,6 +27,7 @@
 import lemonrail.discovery.DiscoveryClient;
 import lemonrail.discovery.ServerList;
 import lemonrail.logging.EventLog;
+import lemonrail.metrics.Metrics;
 import lemonrail.streaming.Budget;
 import lemonrail.streaming.Pipe;
 import lemonrail.suspension.Suspensions;
@@ -73,6 +74,8 @@
         final List<Try> tries = new ArrayList<>(2);
         /** What the client waits, from when its request is read. */
         final double waitMs;
+        /** The longest that the request can have waited to be read. */
+        final double unreadMs;
         /** When the client stops waiting. */
         double deadline;
         Future<?> overdue;
@@ -86,7 +89,8 @@
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(double now, Request request, M message, Client<A> client) {
+        Open(double now, double unreadMs, Request request, M message, Client<A> client) {
+            this.unreadMs = unreadMs;
             waitMs = request.deadlineMs() - now;
             deadline = request.deadlineMs();
             this.request = request;
@@ -125,6 +129,7 @@
     private final Clock clock;
     private final EventLog log;
     private final Upstream<M, A> endpoints;
+    private final Metrics metrics;
     private final Budget budget;
     /** Begins a watch on discovery. */
     private final Runnable watch;
@@ -152,6 +157,7 @@
         this.log = shard.log().in("exchange");
         this.endpoints = endpoints;
         this.budget = shard.budget();
+        this.metrics = shard.metrics();
         this.watch = watch;
         this.suspensions = suspensions;
         settings = shard.settings();
@@ -193,7 +199,7 @@
 
     /** A client has sent a request; it hears of the one final answer. */
     public void request(Request request, M message, Client<A> client) {
-        Open<M, A> open = new Open<>(clock.now(), request, message, client);
+        Open<M, A> open = new Open<>(clock.now(), clock.waitedMs(), request, message, client);
         table.put(request.id(), open);
         budget.take(message.heldBytes());
         if (!message.isComing()) {
@@ -547,6 +553,9 @@
             tell("request_concluded", open, "outcome", how, "attempts", open.tries.size(), "took_ms",
                 clock.now() - open.deadline + open.waitMs);
         }
+        if (clock.now() > open.deadline) {
+            tellLate(open, how);
+        }
         if (open.overdue != null) {
             open.overdue.cancel(false);
         }
@@ -557,6 +566,19 @@
         }
     }
 
+    /** Tells operators where the time went of a request that is answered too late. */
+    private void tellLate(Open<M, A> open, String how) {
+        metrics.answeredLate();
+        double lateMs = clock.now() - open.deadline;
+        Try last = open.tries.isEmpty() ? null : open.tries.get(open.tries.size() - 1);
+        log.trouble("late_answer", "an answer came after its client's time", open.request.id(),
+            "request_id", open.request.id(), "outcome", how, "late_ms", lateMs, "wait_ms", open.waitMs,
+            "unread_ms", open.unreadMs, "attempts", open.tries.size(),
+            "last_endpoint", last == null ? "none" : last.server,
+            "last_sent_ms", last == null ? -1 : last.sentAt - open.deadline + open.waitMs,
+            "last_connect_ms", last == null ? -1 : last.connectMs, "loop_late_ms", clock.lag().recentMs());
+    }
+
     @Override
     public void refuse(String id, double coolDownMs) {
         Open<M, A> open = table.get(id);
--- a/edge/src/main/java/lemonrail/metrics/Metrics.java
+++ b/edge/src/main/java/lemonrail/metrics/Metrics.java
@@ -22,6 +22,7 @@
     private final long[][] replies;
     private final Map<String, IntSupplier> gauges = new LinkedHashMap<>();
     private long dispatches;
+    private long lateAnswers;
     private long reloads;
     private long reloadsFailed;
     private int concurrent;
@@ -52,6 +53,11 @@
         dispatches++;
     }
 
+    /** A final answer was given after its client's time. */
+    public void answeredLate() {
+        lateAnswers++;
+    }
+
     /** The configuration was read again, with or without success. */
     public void reloaded(boolean success) {
         if (success) {
@@ -76,6 +82,7 @@
             }
         }
         line(text, "dispatches", dispatches);
+        line(text, "answers_late", lateAnswers);
         line(text, "concurrent", concurrent);
         gauges.forEach((name, value) -> line(text, name, value.getAsInt()));
         line(text, "reload_success", reloads);
--- a/edge/src/main/java/lemonrail/time/LoopLag.java
+++ b/edge/src/main/java/lemonrail/time/LoopLag.java
@@ -11,6 +11,8 @@
     static final long SLEPT_NANOS = 1_000_000;
     /** The greatest lateness is remembered for one to two such spans. */
     static final long SPAN_NANOS = 2_000_000_000L;
+    /** Bounds of the histogram: how often the loop was later than each, in milliseconds. */
+    private static final int[] BOUNDS_MS = {1, 5, 20, 100, 500};
     private static final double NANOS_PER_MS = 1e6;
 
     private long polls;
@@ -21,6 +23,7 @@
     private long spanBegan;
     private long greatestNanos;
     private long previousGreatestNanos;
+    private final int[] over = new int[BOUNDS_MS.length];
 
     /**
      * The loop is about to poll.
@@ -45,6 +48,9 @@
     }
 
     private void late(long nowNanos, long byNanos) {
+        for (int i = 0; i < over.length && byNanos > BOUNDS_MS[i] * NANOS_PER_MS; i++) {
+            over[i]++;
+        }
         long spans = (nowNanos - spanBegan) / SPAN_NANOS;
         if (spans > 0) {
             previousGreatestNanos = spans == 1 ? greatestNanos : 0;
@@ -70,6 +76,16 @@
         return Math.max(greatestNanos, previousGreatestNanos) / NANOS_PER_MS;
     }
 
+    /** The bounds of the histogram, in milliseconds, rising. */
+    public static int[] boundsMs() {
+        return BOUNDS_MS.clone();
+    }
+
+    /** How often the loop has been later than the bound of this index. */
+    public int timesOver(int bound) {
+        return over[bound];
+    }
+
     /** Leaves out what was measured so far, as once a process has started. */
     public void forget() {
         greatestNanos = 0;
--- a/edge/src/test/java/lemonrail/assembly/ConnectTimeTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ConnectTimeTest.java
@@ -52,8 +52,8 @@
             try (Wire client = rig.client()) {
                 client.send(rig.request("order", DEADLINE_MS));
                 Rig.await("it waits for its connection", () -> rig.inHand() == 1);
-                long waits = System.nanoTime();
-                Rig.await("some time", () -> System.nanoTime() - waits >= TimeUnit.MILLISECONDS.toNanos(HELD_MS));
+                long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HELD_MS);
+                Rig.await("some time", () -> System.nanoTime() >= until);
                 late.release();
                 assertEquals("late", client.read().body());
             }
--- a/edge/src/test/java/lemonrail/assembly/LateLoopTest.java
+++ b/edge/src/test/java/lemonrail/assembly/LateLoopTest.java
@@ -99,6 +99,27 @@
         }
     }
 
+    /** Guards against late answers that operators cannot trace: a body that comes on makes one sure. */
+    @Test
+    void anAnswerThatIsLateIsCountedAndToldWithWhereItsTimeWent() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        Fake endpoint = new Fake((Wire wire, Wire.Message request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", "late");
+        });
+        try (Rig rig = new Rig(endpoint).start(); Wire wire = rig.client()) {
+            wire.send(rig.request("read", WAIT_MS));
+            Rig.await("the endpoint has it", () -> endpoint.requests.size() == 1);
+            // The answer and the end of its time both wait for the loop, which is busy until that is past.
+            Future<?> stalled = stall(rig, 2 * WAIT_MS);
+            release.countDown();
+            awaitEnd(stalled);
+            wire.read();
+            Rig.await("it is told", () -> rig.logged().contains("an answer came after its client's time"));
+            assertTrue(rig.operate("GET", "/v1/metrics").body().contains("edge_gw.answers_late=1"));
+        }
+    }
+
     /** The law as a whole: the loop stalls at random instants beside endpoints of which none answers. */
     @Test
     void failuresAreHeardInTimeAlsoWhereTheLoopStalls() throws Exception {
--- a/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
+++ b/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
@@ -122,7 +122,14 @@
         }
         expected.putAll(Map.of("dispatches", 0L, "concurrent", 0L, "targets", 1L, "targets_disabled", 0L,
             "reload_success", 0L, "reload_failure", 0L, "log_dropped", 0L, "log_suppressed", 0L));
-        assertEquals(expected, figures());
+        expected.put("answers_late", 0L);
+        Map<String, Long> figures = new TreeMap<>(figures());
+        // How late the loop has been by now is the machine's doing, but the figures are there.
+        for (String late : List.of("ms", "over_1ms", "over_5ms", "over_20ms", "over_100ms", "over_500ms")) {
+            String name = late.equals("ms") ? "loop_late_ms" : "loop_late." + late;
+            assertTrue(figures.remove(name) >= 0, name);
+        }
+        assertEquals(expected, figures);
     }
 
     @Test
--- a/edge/src/test/java/lemonrail/time/LoopLagTest.java
+++ b/edge/src/test/java/lemonrail/time/LoopLagTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** How late a loop counts as, by the times of its polls. */
@@ -77,6 +79,14 @@
         assertEquals(0, lag.recentMs());
     }
 
+    @Test
+    void eachLatenessCountsAtAllBoundsBelowIt() {
+        iteration(50, FAR_MS, 80);
+        iteration(0, FAR_MS, 0);
+        assertEquals(List.of(1, 1, 1, 0, 0),
+            IntStream.range(0, LoopLag.boundsMs().length).mapToObj(lag::timesOver).toList());
+    }
+
     @Test
     void whatTheStartTookIsForgotten() {
         iteration(50, FAR_MS, 400);
