--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/FleetSizeTest.java
@@ -0,0 +1,55 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A sidecar among 1,024 before 1,024 endpoints: no list or table of the process ends below either. */
+class FleetSizeTest {
+
+    private static final int SIZE = 1024;
+    private static final int VERSION = 7;
+    private static final int DEADLINE_MS = 9000;
+
+    private Rig rig;
+    private Fake last;
+
+    @AfterEach
+    void close() throws Exception {
+        rig.close();
+        last.close();
+    }
+
+    /** Where nothing listens, but for the last one. */
+    private String address(int number) {
+        return number == SIZE - 1 ? last.address() : "127.1." + number / 256 + "." + number % 256 + ":9";
+    }
+
+    private String list() {
+        return Rig.list(VERSION, true, IntStream.range(0, SIZE)
+            .mapToObj(number -> Rig.line(number, address(number), "in_service", 0)).toArray(String[]::new));
+    }
+
+    /** Guards against entries that are lost at the end of a list, and against a bound on those out by hand. */
+    @Test
+    void theLastOfAllServesWhileTheOthersAreOutByHand() throws Exception {
+        last = Fake.answering(200, "", "the last");
+        rig = new Rig();
+        rig.change = config -> config.replace("\"replicas-of-me\":1,\"slot-no\":0",
+            "\"replicas-of-me\":" + SIZE + ",\"slot-no\":" + (SIZE - 1));
+        rig.discovery.script = (wire, request) -> {
+            rig.discovery.script = (next, later) -> next.awaitEnd();
+            Fake.answer(wire, 200, "", list());
+        };
+        rig.start();
+        Rig.await("the list is there", () -> rig.discovery.requests.stream()
+            .anyMatch(request -> request.line().contains("index=" + VERSION)));
+        for (int number = 0; number < SIZE - 1; number++) {
+            assertEquals(200, rig.operate("PUT", "/v1/endpoints/s" + number + "/suspend").status(), "s" + number);
+        }
+        assertEquals("the last", rig.ask("read", DEADLINE_MS).body());
+        assertEquals(1, last.requests.size(), "calls that it got");
+    }
+}
