--- a/edge/src/test/java/lemonrail/assembly/FleetSizeTest.java
+++ b/edge/src/test/java/lemonrail/assembly/FleetSizeTest.java
@@ -24,7 +24,8 @@
 
     /** Where nothing listens, but for the last one. */
     private String address(int number) {
-        return number == SIZE - 1 ? last.address() : "127.1." + number / 256 + "." + number % 256 + ":9";
+        return number == SIZE - 1 ? last.address()
+            : "127.1." + number / 256 + "." + number % 256 + ":9";
     }
 
     private String list() {
@@ -32,7 +33,7 @@
             .mapToObj(number -> Rig.line(number, address(number), "in_service", 0)).toArray(String[]::new));
     }
 
-    /** Guards against entries that are lost at the end of a list, and against a bound on those out by hand. */
+    /** Guards against entries that are lost at the end of a list, and a bound on those out by hand. */
     @Test
     void theLastOfAllServesWhileTheOthersAreOutByHand() throws Exception {
         last = Fake.answering(200, "", "the last");
@@ -47,7 +48,8 @@
         Rig.await("the list is there", () -> rig.discovery.requests.stream()
             .anyMatch(request -> request.line().contains("index=" + VERSION)));
         for (int number = 0; number < SIZE - 1; number++) {
-            assertEquals(200, rig.operate("PUT", "/v1/endpoints/s" + number + "/suspend").status(), "s" + number);
+            String id = "s" + number;
+            assertEquals(200, rig.operate("PUT", "/v1/endpoints/" + id + "/suspend").status(), id);
         }
         assertEquals("the last", rig.ask("read", DEADLINE_MS).body());
         assertEquals(1, last.requests.size(), "calls that it got");
