Lab: one command of service, ServeCommand, where Program and ServeCommand stood

Need: README "Open" names what is written twice. Both read `run` of deploy/balancer.toml, took the shell's exec off and put this process's JVM in for java; the scale runs then added an option, the path runs another main class.

Change: ServeCommand moves to lemonrail.lab.scale, with the words, the folder, main() and builder() with further arguments; Program goes. The commands of this repository's deploy file are as before.

--- a/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
@@ -4,13 +4,13 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import lemonrail.lab.scale.Program;
 import lemonrail.lab.scale.NodesPlane;
 import lemonrail.lab.scale.RegistryPlane;
 import lemonrail.lab.scale.ScaleFile;
 import lemonrail.lab.scale.ScaleResults;
 import lemonrail.lab.scale.ScaleRun;
 import lemonrail.lab.scale.ScaleScenario;
+import lemonrail.lab.scale.ServeCommand;
 import lemonrail.lab.scale.Slope;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -49,7 +49,7 @@
         ScaleScenario scenario = ScaleFile.read(file == null ? home.resolve("lab/scenarios/scale.toml")
             : file);
         try (Interrupts interrupts = new Interrupts(); Scratch scratch = new Scratch()) {
-            ScaleResults results = ScaleRun.play(scenario, Program.ofService(home), scratch.path(),
+            ScaleResults results = ScaleRun.play(scenario, ServeCommand.of(home), scratch.path(),
                 Runner.version(),
                 nodes == 0 ? RegistryPlane::new
                     : () -> new NodesPlane(nodes, scenario.site().regions()), out);
--- a/lab/src/main/java/lemonrail/lab/scale/Fleet.java
+++ b/lab/src/main/java/lemonrail/lab/scale/Fleet.java
@@ -84,10 +84,10 @@
     }
 
     /** Starts all, and waits until each has its list. */
-    void open(int realCount, Program program, Path scratch) throws IOException, InterruptedException {
+    void open(int realCount, ServeCommand command, Path scratch) throws IOException, InterruptedException {
         expected().forEach((list, all) -> plane.list(list, List.copyOf(all.values())));
         for (int i = 0; i < realCount; i++) {
-            real.put(i, RealSidecar.start("real-" + listed.name().toLowerCase(Locale.ROOT) + "-" + i, program,
+            real.put(i, RealSidecar.start("real-" + listed.name().toLowerCase(Locale.ROOT) + "-" + i, command,
                 scratch, plane, site.endpoints(), site.zoneNames(), list(i), node(i), group(i)));
         }
         startHollow(IntStream.range(realCount, site.endpoints()).boxed().toList());
--- a/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import lemonrail.lab.host.ChildProcess;
@@ -35,19 +34,15 @@
      * @param balancers how many watch the same list, which is what it paces its calls by
      * @param group whose traffic is counted, and who is heard
      */
-    static RealSidecar start(String name, Program program, Path scratch, ControlPlane plane, int balancers,
-            List<String> zones, String list, int node, String group) throws IOException {
+    static RealSidecar start(String name, ServeCommand command, Path scratch, ControlPlane plane,
+            int balancers, List<String> zones, String list, int node, String group) throws IOException {
         InetSocketAddress listen = SidecarHost.freePort();
         Path folder = Files.createDirectories(scratch.resolve(name));
         Path file = plane.file(new ControlPlane.Place(folder, name, listen, balancers, zones), list, node,
             group);
         Path log = folder.resolve("log");
-        List<String> command = new ArrayList<>(program.command());
-        if (file.toString().endsWith(".toml")) {
-            command.addAll(List.of("--config", file.toString()));
-        }
-        ProcessBuilder builder = new ProcessBuilder(command)
-            .directory(program.folder().toFile())
+        ProcessBuilder builder = (file.toString().endsWith(".toml")
+            ? command.builder("--config", file.toString()) : command.builder())
             .redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("TMPDIR", folder.toString());
--- a/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/ScaleRun.java
@@ -19,18 +19,18 @@
     /**
      * Plays it; what it came to is kept where it cannot go on, or is interrupted, as well.
      *
-     * @param program what real sidecars are
+     * @param command by which real sidecars are started
      * @param planes makes the control that storms are played against
      */
-    public static ScaleResults play(ScaleScenario scenario, Program program, Path scratch, String version,
-            Supplier<ControlPlane> planes, PrintWriter words) throws IOException {
+    public static ScaleResults play(ScaleScenario scenario, ServeCommand command, Path scratch,
+            String version, Supplier<ControlPlane> planes, PrintWriter words) throws IOException {
         long began = System.nanoTime();
         InetSocketAddress nowhere = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
         Path file = PlatformConfig.write(scratch.resolve("hollow.json"), "hollow", nowhere, nowhere,
             scenario.site().endpoints(), scenario.site().zoneNames());
         EdgeConfig config = ConfigSource.of(file, Map.of("TMPDIR", scratch.toString())).load().config();
-        SlopeRun slopes = new SlopeRun(scenario, program, scratch, config, words, planes);
-        StormRun storms = new StormRun(scenario, program, scratch, config, words, planes);
+        SlopeRun slopes = new SlopeRun(scenario, command, scratch, config, words, planes);
+        StormRun storms = new StormRun(scenario, command, scratch, config, words, planes);
         String cutShort = "";
         try {
             if (scenario.slopes() != null) {
--- a/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/SlopeRun.java
@@ -23,18 +23,18 @@
     private static final double LEAST_IDLE_MS = 12_000;
 
     private final ScaleScenario scenario;
-    private final Program program;
+    private final ServeCommand command;
     private final Path scratch;
     private final EdgeConfig config;
     private final PrintWriter words;
     private final Supplier<ControlPlane> planes;
     private final List<Point> points = new ArrayList<>();
 
-    SlopeRun(ScaleScenario scenario, Program program, Path scratch, EdgeConfig config, PrintWriter words,
+    SlopeRun(ScaleScenario scenario, ServeCommand command, Path scratch, EdgeConfig config, PrintWriter words,
             Supplier<ControlPlane> planes) {
         this.planes = planes;
         this.scenario = scenario;
-        this.program = program;
+        this.command = command;
         this.scratch = scratch;
         this.config = config;
         this.words = words;
@@ -80,7 +80,7 @@
                     for (int i = 0; i < slopes.perSize(); i++) {
                         String name = list + "-" + i;
                         real.computeIfAbsent(listed, k -> new ArrayList<>()).add(RealSidecar.start(name,
-                            program, scratch, plane, scenario.site().endpoints(),
+                            command, scratch, plane, scenario.site().endpoints(),
                             scenario.site().zoneNames(), list, 0, name));
                     }
                 }
--- a/lab/src/main/java/lemonrail/lab/scale/StormRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/StormRun.java
@@ -38,7 +38,7 @@
 
     private final ScaleScenario scenario;
     private final Site site;
-    private final Program program;
+    private final ServeCommand command;
     private final Path scratch;
     private final EdgeConfig config;
     private final PrintWriter words;
@@ -53,11 +53,11 @@
     /** A real sidecar's cost while nothing happens. */
     private Fleet.Spent quiet;
 
-    StormRun(ScaleScenario scenario, Program program, Path scratch, EdgeConfig config, PrintWriter words,
+    StormRun(ScaleScenario scenario, ServeCommand command, Path scratch, EdgeConfig config, PrintWriter words,
             Supplier<ControlPlane> planes) {
         this.scenario = scenario;
         this.site = scenario.site();
-        this.program = program;
+        this.command = command;
         this.scratch = scratch;
         this.config = config;
         this.words = words;
@@ -92,7 +92,7 @@
     }
 
     private void prepare(Listed listed) throws IOException, InterruptedException {
-        fleet.open(scenario.sidecars().real(), program, scratch);
+        fleet.open(scenario.sidecars().real(), command, scratch);
         say("storms: %d hollow and %d real sidecars stand, each told of %s", fleet.hollow().sidecars().size(),
             fleet.real().size(), word(listed));
         pour(HEAT_PER_S, scenario.sidecars().warmUpMs());
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
@@ -15,6 +15,7 @@
 import lemonrail.lab.load.OpenLoop;
 import lemonrail.lab.load.Plain;
 import lemonrail.lab.model.Arrivals;
+import lemonrail.lab.scale.ServeCommand;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
 import lemonrail.lab.scale.path.ProcessUsage.Kind;
--- a/lab/src/main/java/lemonrail/lab/scale/path/ServedProcess.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/ServedProcess.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import lemonrail.lab.host.ChildProcess;
 import lemonrail.lab.host.SidecarHost;
+import lemonrail.lab.scale.ServeCommand;
 
 /** What calls pass: a sidecar or a relay, each a process of its own started by the platform's command. */
 final class ServedProcess implements AutoCloseable {
--- a/lab/src/test/java/lemonrail/lab/scale/NodesPlaneTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/NodesPlaneTest.java
@@ -23,10 +23,11 @@
     void controlNodesCarryEachStorm() throws Exception {
         ScaleScenario scenario = ScaleFile.read(Path.of("scenarios", "scale-nodes-small.toml"));
         // Not by the command of service: its jar is there only after the package phase.
-        Program program = new Program(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+        ServeCommand command = new ServeCommand(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
             System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"), folder);
-        ScaleResults results = ScaleRun.play(scenario, program, folder, "test", () -> new NodesPlane(4, 2),
+        ScaleResults results = ScaleRun.play(scenario, command, folder, "test", () -> new NodesPlane(4, 2),
             new PrintWriter(new StringWriter(), true));
         Path kept = folder.resolve("kept");
         results.keep(kept);
--- a/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
@@ -31,11 +31,12 @@
     void theSmallFormMeetsItsTargets() throws Exception {
         ScaleScenario scenario = ScaleFile.read(Path.of("scenarios", "scale-small.toml"));
         // Not by the command of service: its jar is there only after the package phase.
-        Program program = new Program(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
+        ServeCommand command = new ServeCommand(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
             System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"), folder);
         StringWriter words = new StringWriter();
-        ScaleResults results = ScaleRun.play(scenario, program, folder, "test", RegistryPlane::new,
+        ScaleResults results = ScaleRun.play(scenario, command, folder, "test", RegistryPlane::new,
             new PrintWriter(words, true));
         Path kept = folder.resolve("kept");
         results.keep(kept);
@@ -141,8 +142,8 @@
         ScaleScenario scenario = new ScaleScenario("forgetful", file, "a control that forgets", site,
             new ScaleScenario.Sidecars(0, 2, 1, 0, 100), new ScaleScenario.Targets(300, 50, 32, 15), null,
             List.of(new ScaleScenario.Storm(ScaleScenario.Kind.CHANGE, ScaleScenario.Listed.ALL, 2, 200)));
-        ScaleResults results = ScaleRun.play(scenario, new Program(List.of("none"), folder), folder, "test",
-            () -> new Forgetful(site.line(7).id()), new PrintWriter(new StringWriter()));
+        ScaleResults results = ScaleRun.play(scenario, new ServeCommand(List.of("none"), folder), folder,
+            "test", () -> new Forgetful(site.line(7).id()), new PrintWriter(new StringWriter()));
         StormRow row = results.rows().get(0);
         assertEquals(site.endpoints(), row.never(), "the second change, of endpoint 7, reached nobody");
         assertEquals(0, row.knowing(), row.toString());
@@ -154,8 +155,8 @@
     @Test
     void whatCannotGoOnIsKeptAndNoPass() throws Exception {
         ScaleScenario scenario = ScaleFile.read(Path.of("scenarios", "scale-small.toml"));
-        Program ends = new Program(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-version"), folder);
+        ServeCommand ends = new ServeCommand(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-version"), folder);
         ScaleResults results = ScaleRun.play(scenario, ends, folder, "test", RegistryPlane::new,
             new PrintWriter(new StringWriter()));
         assertEquals("a sidecar has ended while starting", results.cutShort());
--- a/lab/src/test/java/lemonrail/lab/scale/path/PathRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathRunTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import lemonrail.lab.scale.ServeCommand;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
 import org.junit.jupiter.api.Test;
