Lab: one reader of what a process uses, ProcessUsage, where ProcessCost stood beside it

Need: README "Open" names what is written twice. ProcessCost of the scale runs and ProcessUsage of the path runs read the same files of proc(5); ChildProcess read the resident memory a third time.

Change: ProcessUsage moves to lemonrail.lab.host. What only ProcessCost did it now does: threads that have ended count as last seen (remembering), the larger of the threads' sum and the process's own count (processMs), the proportional share of memory. A reading takes in the threads' names and wake-ups as well now, once for each point; that work is the reader's, not the sidecar's.

--- a/lab/src/main/java/lemonrail/lab/host/ChildProcess.java
+++ b/lab/src/main/java/lemonrail/lab/host/ChildProcess.java
@@ -29,15 +29,8 @@
 
     /** Its resident memory in MiB, or NaN where the system does not tell. */
     public double residentMb() throws IOException {
-        Path status = Path.of("/proc/" + process.pid() + "/status");
-        if (Files.isReadable(status)) {
-            for (String line : Files.readAllLines(status)) {
-                if (line.startsWith("VmRSS:")) {
-                    return Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024;
-                }
-            }
-        }
-        return Double.NaN;
+        return Files.isReadable(Path.of("/proc", String.valueOf(process.pid()), "status"))
+            ? ProcessUsage.residentMb(process.pid()) : Double.NaN;
     }
 
     @Override
--- a/lab/src/main/java/lemonrail/lab/scale/path/ProcessUsage.java
+++ b/lab/src/main/java/lemonrail/lab/host/ProcessUsage.java
@@ -1,4 +1,4 @@
-package lemonrail.lab.scale.path;
+package lemonrail.lab.host;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -19,10 +19,10 @@
  * @param residentMb resident memory in MiB
  * @param descriptors open file descriptors
  */
-record ProcessUsage(double statMs, Map<String, Threads> threads, double residentMb, int descriptors) {
+public record ProcessUsage(double statMs, Map<String, Threads> threads, double residentMb, int descriptors) {
 
     /** What a thread is there for. */
-    enum Kind {
+    public enum Kind {
         /** The event loop, which carries the calls. */
         LOOP,
         /** The JVM's compilers. */
@@ -40,31 +40,32 @@
      * @param waitedMs time in ms in which they could have run but had no processor
      * @param wakeups how often they gave up the processor of themselves, and so were woken again
      */
-    record Threads(Kind kind, double ranMs, double waitedMs, long wakeups) {
+    public record Threads(Kind kind, double ranMs, double waitedMs, long wakeups) {
         private static Threads none(Kind kind) {
             return new Threads(kind, 0, 0, 0);
         }
 
-        Threads plus(Threads more) {
+        public Threads plus(Threads more) {
             return new Threads(kind, ranMs + more.ranMs, waitedMs + more.waitedMs, wakeups + more.wakeups);
         }
 
-        Threads minus(Threads less) {
+        public Threads minus(Threads less) {
             return new Threads(kind, ranMs - less.ranMs, waitedMs - less.waitedMs, wakeups - less.wakeups);
         }
     }
 
     /** No process, of which nothing is known. */
-    static final ProcessUsage NONE = new ProcessUsage(Double.NaN, Map.of(), Double.NaN, 0);
+    public static final ProcessUsage NONE = new ProcessUsage(Double.NaN, Map.of(), Double.NaN, 0);
 
     /** Ticks of {@code /proc/PID/stat}, which Linux shows as 100 a second whatever it counts by itself. */
     private static final double TICK_MS = 10;
     private static final int USER_TICKS = 11;
     private static final double NANOS = 1e6;
+    private static final double KILO = 1024;
 
     /** Reads it of a process that runs. */
-    static ProcessUsage of(long pid) throws IOException {
-        Path process = Path.of("/proc", String.valueOf(pid));
+    public static ProcessUsage of(long pid) throws IOException {
+        Path process = folder(pid);
         String stat = Files.readString(process.resolve("stat"));
         // The name may hold blanks and brackets; what follows its last bracket does not.
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
@@ -79,17 +80,31 @@
                 continue;
             }
         }
-        return new ProcessUsage(statMs, threads, number(process.resolve("status"), "VmRSS:") / 1024,
+        return new ProcessUsage(statMs, threads, residentMb(pid),
             list(process.resolve("fd")).size());
     }
 
+    private static Path folder(long pid) {
+        return Path.of("/proc", String.valueOf(pid));
+    }
+
+    /** Resident memory of a process in MiB. */
+    public static double residentMb(long pid) throws IOException {
+        return number(folder(pid).resolve("status"), "VmRSS:") / KILO;
+    }
+
+    /** Its share of memory in MiB, where what several processes map is shared out among them. */
+    public static double proportionalMb(long pid) throws IOException {
+        return number(folder(pid).resolve("smaps_rollup"), "Pss:") / KILO;
+    }
+
     private static List<Path> list(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return new ArrayList<>(files.toList());
         }
     }
 
-    static Kind kind(String thread) {
+    public static Kind kind(String thread) {
         if (thread.startsWith("sidecar-") || thread.startsWith("multiThreadIoEv")) {
             return Kind.LOOP;
         }
@@ -117,28 +132,43 @@
     }
 
     /** What threads of a kind have used. */
-    Threads of(Kind kind) {
+    public Threads of(Kind kind) {
         return threads.values().stream().filter(thread -> thread.kind == kind).reduce(Threads.none(kind),
             Threads::plus);
     }
 
     /** Processor time of all threads in ms. */
-    double cpuMs() {
+    public double cpuMs() {
         return threads.isEmpty() ? Double.NaN : threads.values().stream().mapToDouble(Threads::ranMs).sum();
     }
 
+    /**
+     * Processor time of the process in ms: its threads' where that is more than what the process's own count
+     * has come to, in its coarse steps, or all there is where the system tells nothing of threads.
+     */
+    public double processMs() {
+        return threads.isEmpty() ? statMs : Math.max(statMs, cpuMs());
+    }
+
+    /** The same with the threads that have ended since then, as they were last seen: no sum of them falls. */
+    public ProcessUsage remembering(ProcessUsage before) {
+        Map<String, Threads> all = new HashMap<>(before.threads);
+        all.putAll(threads);
+        return new ProcessUsage(statMs, all, residentMb, descriptors);
+    }
+
     /** How long threads could have run but had no processor, in ms. */
-    double waitedMs() {
+    public double waitedMs() {
         return threads.values().stream().mapToDouble(Threads::waitedMs).sum();
     }
 
     /** How often threads were woken. */
-    long wakeups() {
+    public long wakeups() {
         return threads.values().stream().mapToLong(Threads::wakeups).sum();
     }
 
     /** What has been used since then; memory and descriptors are those of now. */
-    ProcessUsage since(ProcessUsage before) {
+    public ProcessUsage since(ProcessUsage before) {
         Map<String, Threads> used = new HashMap<>();
         threads.forEach((id, now) -> used.put(id, before.threads.containsKey(id)
             ? now.minus(before.threads.get(id)) : now));
@@ -146,7 +176,7 @@
     }
 
     /** Two processes, or two times of one, together; memory is the most of both. */
-    ProcessUsage plus(ProcessUsage more) {
+    public ProcessUsage plus(ProcessUsage more) {
         Map<String, Threads> all = new HashMap<>(threads);
         more.threads.forEach((id, thread) -> all.merge(id, thread, Threads::plus));
         return new ProcessUsage(statMs + more.statMs, all, Math.max(residentMb, more.residentMb),
--- a/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import lemonrail.lab.host.ChildProcess;
+import lemonrail.lab.host.ProcessUsage;
 import lemonrail.lab.host.SidecarHost;
 
 /** A whole sidecar in a process of its own, by the command of service, as the platform starts it. */
@@ -14,15 +15,14 @@
 
     private final String name;
     private final ChildProcess child;
-    private final ProcessCost cost;
     private final InetSocketAddress listen;
     private final Path file;
     private final Path log;
+    private ProcessUsage usage = ProcessUsage.NONE;
 
     private RealSidecar(String name, ChildProcess child, InetSocketAddress listen, Path file, Path log) {
         this.name = name;
         this.child = child;
-        cost = new ProcessCost(child.process().pid());
         this.listen = listen;
         this.file = file;
         this.log = log;
@@ -62,7 +62,8 @@
     @Override
     public double cpuMs() {
         try {
-            return cost.cpuMs();
+            usage = ProcessUsage.of(child.process().pid()).remembering(usage);
+            return usage.processMs();
         } catch (IOException e) {
             return Double.NaN;
         }
@@ -70,11 +71,11 @@
 
     @Override
     public double residentMb() throws IOException {
-        return cost.residentMb();
+        return ProcessUsage.residentMb(child.process().pid());
     }
 
     double proportionalMb() throws IOException {
-        return cost.proportionalMb();
+        return ProcessUsage.proportionalMb(child.process().pid());
     }
 
     @Override
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathReport.java
@@ -15,7 +15,7 @@
 import lemonrail.lab.scale.LinearFit;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
-import lemonrail.lab.scale.path.ProcessUsage.Kind;
+import lemonrail.lab.host.ProcessUsage.Kind;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
 
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathRow.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathRow.java
@@ -2,7 +2,8 @@
 
 import java.util.List;
 import java.util.Locale;
-import lemonrail.lab.scale.path.ProcessUsage.Kind;
+import lemonrail.lab.host.ProcessUsage.Kind;
+import lemonrail.lab.host.ProcessUsage;
 import org.HdrHistogram.Histogram;
 
 /**
--- a/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/PathRun.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lemonrail.lab.host.ProcessUsage;
 import lemonrail.lab.load.Loads;
 import lemonrail.lab.load.OpenLoop;
 import lemonrail.lab.load.Plain;
@@ -18,7 +19,7 @@
 import lemonrail.lab.scale.ServeCommand;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
-import lemonrail.lab.scale.path.ProcessUsage.Kind;
+import lemonrail.lab.host.ProcessUsage.Kind;
 import org.HdrHistogram.Histogram;
 
 /**
--- a/lab/src/main/java/lemonrail/lab/scale/path/ServedProcess.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/ServedProcess.java
@@ -16,6 +16,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import lemonrail.lab.host.ChildProcess;
+import lemonrail.lab.host.ProcessUsage;
 import lemonrail.lab.host.SidecarHost;
 import lemonrail.lab.scale.ServeCommand;
 
--- a/lab/src/test/java/lemonrail/lab/scale/path/PathVerdictTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/path/PathVerdictTest.java
@@ -6,12 +6,13 @@
 
 import java.util.List;
 import java.util.Map;
+import lemonrail.lab.host.ProcessUsage;
 import lemonrail.lab.scale.LinearFit;
 import lemonrail.lab.scale.path.PathRow.Part;
 import lemonrail.lab.scale.path.PathRow.Way;
 import lemonrail.lab.scale.path.PathVerdict.Compared;
-import lemonrail.lab.scale.path.ProcessUsage.Kind;
-import lemonrail.lab.scale.path.ProcessUsage.Threads;
+import lemonrail.lab.host.ProcessUsage.Kind;
+import lemonrail.lab.host.ProcessUsage.Threads;
 import org.HdrHistogram.Histogram;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
