Edge: one listener for whole HTTP calls, HttpListener, where two stood

Need: README "Open" names what is written twice: the listeners of WatchServer and OperatorsDoor set up the same sockets and the same pipeline, with bounds of their own.

Change: HttpListener of lemonrail.net has the bounds as a record and binds; both use it with the bounds they had.

--- a/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
+++ b/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
@@ -1,6 +1,5 @@
 package lemonrail.admin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -8,20 +7,15 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -30,6 +24,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import lemonrail.net.HttpListener;
 
 /**
  * The listener for operators: one call a connection. Its connections are few and each has little time, so
@@ -82,20 +77,8 @@
 
     /** Opens the door. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, buffers)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<SocketChannel>() {
-                @Override
-                protected void initChannel(SocketChannel accepted) {
-                    accepted.pipeline().addLast(
-                        new HttpServerCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES),
-                        new HttpObjectAggregator(mostBodyBytes), new Connection(accepted));
-                }
-            })
-            .bind(address);
+        ChannelFuture bound = new HttpListener(BACKLOG, MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES,
+            mostBodyBytes).bind(loop, buffers, address, Connection::new);
         listener = bound.channel();
         return bound;
     }
--- a/edge/src/main/java/lemonrail/control/WatchServer.java
+++ b/edge/src/main/java/lemonrail/control/WatchServer.java
@@ -1,25 +1,19 @@
 package lemonrail.control;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -37,6 +31,7 @@
 import lemonrail.core.control.InForce;
 import lemonrail.core.control.Item;
 import lemonrail.logging.EventLog;
+import lemonrail.net.HttpListener;
 import lemonrail.net.Sockets;
 import lemonrail.time.Clock;
 
@@ -115,20 +110,8 @@
     }
 
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.ALLOCATOR, Sockets.BUFFERS)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<SocketChannel>() {
-                @Override
-                protected void initChannel(SocketChannel accepted) {
-                    accepted.pipeline().addLast(
-                        new HttpServerCodec(MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES),
-                        new HttpObjectAggregator(MOST_BODY_BYTES), new Connection(accepted));
-                }
-            })
-            .bind(address);
+        ChannelFuture bound = new HttpListener(BACKLOG, MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES,
+            MOST_BODY_BYTES).bind(loop, Sockets.BUFFERS, address, Connection::new);
         listener = bound.channel();
         sweeping = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
