--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -2,13 +2,14 @@
 
 import lemonrail.core.Contract.*;
 import lemonrail.core.TokenBucket;
+import lemonrail.core.TroubleReport;
 
 /** How many calls may be out at once, learned from outcomes, and who is turned away. */
 final class Limit {
 
-    /** Calls a server, over all balancers, that the limit starts from, and that it stays above. */
+    /** Calls a server, over all balancers, that the limit starts from, and that it keeps: one is no crowd. */
     static final double FIRST_CALLS = 4;
-    private static final double LEAST_CALLS = 0.5;
+    private static final double LEAST_CALLS = 1;
     /** What is left of the remembered peak after one refill pause. */
     private static final double PEAK_DECAY = 0.996;
     /** The share of the pool's bound kept for calls of more worth. */
@@ -50,13 +51,14 @@
     private double pressure;
     private double nextCut;
     private double quickUntil;
-    /** Calls turned away since the last report, and when one within its tenant's share last was. */
-    int turnedAway;
+    private final TroubleReport report;
+    /** When a call within its tenant's share was last turned away. */
     private double shareTurnedAway = Double.NEGATIVE_INFINITY;
     /** This balancer's part of each tenant's allowance. */
     private final TokenBucket[] allowances;
 
-    Limit(Settings settings, Ranks ranks, Health health, Locality locality) {
+    Limit(Settings settings, Ranks ranks, Health health, Locality locality, TroubleReport report) {
+        this.report = report;
         this.settings = settings;
         this.ranks = ranks;
         this.health = health;
@@ -97,7 +99,7 @@
         boolean admitted = hasRoom(now, call);
         if (!admitted) {
             shareTurnedAway = call.withinShare ? now : shareTurnedAway;
-            turnedAway++;
+            report.turnedAway();
         }
         return admitted;
     }
@@ -136,7 +138,7 @@
     /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
     void judge(double now, Call call, Call.Attempt attempt, Finished finished) {
         lastEnd = now;
-        lastTook = finished.tookMs();
+        lastTook = finished.servedMs();
         Target target = attempt.slot().target;
         if (!tellsOfCrowding(finished.outcome())
                 || finished.outcome() == Outcome.TIMED_OUT && health.hangs(now, target)) {
@@ -155,8 +157,10 @@
         pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (pressure > comfort()) {
             if (now >= nextCut) {
-                limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
+                limit = Math.max(share(LEAST_CALLS), Math.min(limit, peak + 1) * CUT);
                 nextCut = now + call.learned.typicalMs();
+                // What was slow before a cut must not cut again, which it did where answers are few.
+                pressure = comfort();
             }
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
             // Where balancers are few, a drained one's calls come at once: a step a round would refuse many.
@@ -177,7 +181,8 @@
      */
     private static double excess(Call call, Finished finished) {
         double base = call.learned.baseMs();
-        double ratio = (finished.tookMs() - base) / Math.max(call.kind.aimMs() - base, call.kind.aimMs() / 4);
+        double aim = call.kind.aimMs();
+        double ratio = (finished.servedMs() - base) / Math.max(aim - base, aim / 4);
         // How long it would have taken is not known of an answer that has not come.
         double least = finished.outcome() == Outcome.OK ? -MOST_EXCESS : 0;
         return Math.max(least, Math.min(MOST_EXCESS, ratio));
@@ -189,9 +194,15 @@
             >= Math.max(FIRST_CALLS, CASCADE * Math.max(1, limit) * settings.balancers() / ranks.ready);
     }
 
-    /** With a call or two at once answers are few and a step is large: such balancers keep further off. */
+    /** Whose part is a call or two has few answers, large steps, and keeps off; not who was cut to it. */
     private double comfort() {
-        return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, limit / AMPLE_LIMIT));
+        double part = Math.max(limit, share(FIRST_CALLS));
+        return COMFORT * Math.max(LEAST_COMFORT, Math.min(1, part / AMPLE_LIMIT));
+    }
+
+    /** Its part of so many calls a server. */
+    private double share(double calls) {
+        return calls * capacity / settings.balancers();
     }
 
     /** Its part of one call a server: all balancers together move the fleet by that, however many. */
