--- a/lab/src/main/java/lemonrail/lab/Demo.java
+++ b/lab/src/main/java/lemonrail/lab/Demo.java
@@ -14,8 +14,8 @@
 import lemonrail.core.Contract.Settings;
 import lemonrail.lab.cli.Scratch;
 import lemonrail.lab.decider.Deciders;
+import lemonrail.lab.host.AttemptRecorder;
 import lemonrail.lab.host.Played;
-import lemonrail.lab.host.Witness;
 import lemonrail.lab.host.World;
 import lemonrail.lab.model.Arrivals;
 import lemonrail.lab.model.Ask;
@@ -135,8 +135,8 @@
         long refused = count(asks, Ask.End.REFUSED);
         long failed = count(asks, Ask.End.FAILED);
         long none = asks.size() - served - refused - failed;
-        long retried = played.witness().attempts().size() - played.witness().attempts().stream()
-            .map(Witness.Attempt::request).distinct().count();
+        long retried = played.recorder().attempts().size() - played.recorder().attempts().stream()
+            .map(AttemptRecorder.Attempt::request).distinct().count();
         Histogram micros = new Histogram(MOST_MICROS, 3);
         asks.stream().filter(ask -> !Double.isNaN(ask.servedMs())).forEach(ask -> micros.recordValue(
             Math.min(MOST_MICROS, Math.round((ask.servedMs() - ask.arrivedMs()) * 1000))));
--- a/lab/src/main/java/lemonrail/lab/host/Witness.java
+++ b/lab/src/main/java/lemonrail/lab/host/AttemptRecorder.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import lemonrail.lab.model.Agenda;
 
-/** Sees every attempt at every endpoint, and when each sidecar was told of what. */
-public final class Witness {
+/** Records every attempt at every endpoint and what sidecars were told, and checks the rules by both. */
+public final class AttemptRecorder {
 
     /** One request as an endpoint saw it; times are the world's, NaN where it did not come to that. */
     public static final class Attempt {
@@ -111,12 +111,12 @@
     private final Map<String, Double> unwanted = new HashMap<>();
 
     /**
-     * A witness in a world.
+     * A recorder of one run.
      *
      * @param graceMs for how long sidecars may send to what they know to drain
      * @param linkMs by how much one link to an endpoint may be slower than another
      */
-    public Witness(Agenda agenda, double graceMs, double linkMs) {
+    public AttemptRecorder(Agenda agenda, double graceMs, double linkMs) {
         overlapMs = SLACK_MS + linkMs;
         this.agenda = agenda;
         this.graceMs = graceMs;
--- a/lab/src/main/java/lemonrail/lab/host/EndpointHost.java
+++ b/lab/src/main/java/lemonrail/lab/host/EndpointHost.java
@@ -39,7 +39,8 @@
     /** Calls the next tier for an endpoint. */
     public interface NextTier {
         /** One call on behalf of a request, which {@code done} hears of unless the call is dropped. */
-        Runnable call(FullHttpRequest of, Witness.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done);
+        Runnable call(FullHttpRequest of, AttemptRecorder.Attempt onBehalfOf, double leftMs,
+            Consumer<Boolean> done);
     }
 
     private final Agenda agenda;
@@ -47,7 +48,7 @@
     private final int tier;
     private final double workShare;
     private final CallCount calls;
-    private final Witness witness;
+    private final AttemptRecorder recorder;
     private final Channel listener;
     private final Set<Connection> connections = new HashSet<>();
     private NextTier next;
@@ -60,13 +61,13 @@
 
     /** Listens at a free port. */
     public EndpointHost(EventLoop loop, Agenda agenda, Endpoint model, int tier, double workShare,
-            CallCount calls, Witness witness) {
+            CallCount calls, AttemptRecorder recorder) {
         this.agenda = agenda;
         this.model = model;
         this.tier = tier;
         this.workShare = workShare;
         this.calls = calls;
-        this.witness = witness;
+        this.recorder = recorder;
         listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -153,7 +154,7 @@
             double leftMs = left == null ? Double.POSITIVE_INFINITY : Double.parseDouble(left);
             List<String> given = new QueryStringDecoder(request.uri()).parameters().get("work");
             double askedMs = given == null ? 0 : Double.parseDouble(given.get(0)) * workShare;
-            Witness.Attempt seen = witness.attempt(id, tier, id(), askedMs);
+            AttemptRecorder.Attempt seen = recorder.attempt(id, tier, id(), askedMs);
             work = new Served(request.retain(), id, seen, askedMs, leftMs);
             if (shaken) {
                 model.offer(work);
@@ -193,11 +194,12 @@
         private final class Served extends Work {
             private final FullHttpRequest request;
             private final String id;
-            private final Witness.Attempt seen;
+            private final AttemptRecorder.Attempt seen;
             private final double untilMs;
             private Runnable dropCall;
 
-            Served(FullHttpRequest request, String id, Witness.Attempt seen, double askedMs, double leftMs) {
+            Served(FullHttpRequest request, String id, AttemptRecorder.Attempt seen, double askedMs,
+                    double leftMs) {
                 super(request.headers().get("Idempotency-Key"), askedMs, next == null ? 0 : calls.draw());
                 this.request = request;
                 this.id = id;
--- a/lab/src/main/java/lemonrail/lab/host/Played.java
+++ b/lab/src/main/java/lemonrail/lab/host/Played.java
@@ -14,7 +14,7 @@
  * @param cpuMs of the sidecars, or NaN where they share the lab's process
  */
 public record Played(Scenario scenario, Scenario.Variant variant, long seed, Settings settings, boolean whole,
-        List<Ask> asks, Witness witness, List<Node> nodes, List<String> broken, Lateness lateness,
+        List<Ask> asks, AttemptRecorder recorder, List<Node> nodes, List<String> broken, Lateness lateness,
         int mostOpen, double cpuMs) {
 
     /** An endpoint and the work that it did, in ms on a core of speed 1. */
--- a/lab/src/main/java/lemonrail/lab/host/World.java
+++ b/lab/src/main/java/lemonrail/lab/host/World.java
@@ -80,7 +80,7 @@
         new DefaultThreadFactory("world", true), NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final LoopAgenda agenda = new LoopAgenda(loop);
-    private final Witness witness;
+    private final AttemptRecorder recorder;
     private final List<Row> rows = new ArrayList<>();
     private final Map<String, SidecarHost> sidecars = new LinkedHashMap<>();
     private final List<AutoCloseable> parts = new ArrayList<>();
@@ -100,7 +100,7 @@
         this.builds = builds;
         this.folder = Files.createDirectories(folder);
         settings = EdgeSettings.load(scenario.edge(), variant.set());
-        witness = new Witness(agenda, settings.rules().drainGraceMs(), linkMs());
+        recorder = new AttemptRecorder(agenda, settings.rules().drainGraceMs(), linkMs());
         try {
             start();
         } catch (IOException | InterruptedException | RuntimeException e) {
@@ -178,7 +178,7 @@
                 }
                 double calls = tier.calls();
                 EndpointHost host = new EndpointHost(loop, agenda, model, i, tier.workShare(),
-                    () -> (int) calls + (random.nextDouble() < calls - (int) calls ? 1 : 0), witness);
+                    () -> (int) calls + (random.nextDouble() < calls - (int) calls ? 1 : 0), recorder);
                 row.hosts.add(host);
                 row.byId.put(host.id(), host);
                 parts.add(host);
@@ -199,7 +199,7 @@
         String name = name(tier, number);
         Row row = rows.get(tier);
         Registry.Agent source = on(() -> row.registry.agent(line ->
-            witness.told(name, line.id(), line.state() == Registry.State.IN_SERVICE)));
+            recorder.told(name, line.id(), line.state() == Registry.State.IN_SERVICE)));
         AgentHost agent = new AgentHost(loop, source, row.byId::get,
             id -> row.links.containsKey(row.byId.get(id)) ? row.links.get(row.byId.get(id)).address()
                 : row.byId.get(id).address(), System.currentTimeMillis());
@@ -234,7 +234,7 @@
     }
 
     private Runnable call(Caller caller, String sidecar, UniformRandomProvider random, FullHttpRequest of,
-            Witness.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done) {
+            AttemptRecorder.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done) {
         if (leftMs < 1) {
             agenda.after(0, () -> done.accept(false));
             return () -> { };
@@ -255,7 +255,7 @@
             // The calls of one request are things of their own; the same call of its repeat is not.
             request.headers().set("Idempotency-Key", key + "." + number);
         }
-        witness.sent(id, sidecar, onBehalfOf);
+        recorder.sent(id, sidecar, onBehalfOf);
         double sentMs = agenda.nowMs();
         RequestClass kind = settings.classes().get(classNames().indexOf(of.headers().get("X-Class")));
         return caller.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
@@ -290,7 +290,7 @@
             scenario.patience().least(), scenario.patience().most(), scenario.load().exponentialWork()),
             arrivals, scenario.load().lengthMs(), random("clients"), (ask, id, patienceMs, reply) -> {
                 int to = dealt.nextInt(callers.size());
-                witness.sent(id, names.get(to), null);
+                recorder.sent(id, names.get(to), null);
                 double sentMs = agenda.nowMs();
                 RequestClass kind = classes.get(places.get(ask.requestClass()));
                 callers.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
@@ -336,24 +336,24 @@
     /** One final answer, made by an endpoint where it serves, and no refusal of what may have run. */
     private void judgeAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
             double sentMs, double waitMs) {
-        List<Witness.Attempt> attempts = witness.of(id);
+        List<AttemptRecorder.Attempt> attempts = recorder.of(id);
         if (end == Ask.End.GIVEN_UP) {
-            witness.broken("no answer within " + Math.round(agenda.nowMs() - sentMs) + " of "
+            recorder.broken("no answer within " + Math.round(agenda.nowMs() - sentMs) + " of "
                 + Math.round(waitMs) + " ms: " + id);
         } else if (end == Ask.End.LOST && scenario.clientLink().isPlain()) {
-            witness.broken("the connection ended without a whole answer: " + id);
+            recorder.broken("the connection ended without a whole answer: " + id);
         } else if (end == Ask.End.SERVED) {
             String body = answer.content().toString(StandardCharsets.UTF_8);
             if (attempts.stream().noneMatch(attempt -> body.equals(attempt.endpoint() + " " + id))) {
-                witness.broken("served with what no endpoint made for it: " + id);
+                recorder.broken("served with what no endpoint made for it: " + id);
             }
         }
         if (end == Ask.End.REFUSED && !kind.refusableAfterRun()
                 && attempts.stream().anyMatch(attempt -> !Double.isNaN(attempt.ranMs()))) {
-            witness.broken("refused after it may have run: " + id);
+            recorder.broken("refused after it may have run: " + id);
         }
         if (attempts.size() > settings.limits().tries()) {
-            witness.broken(attempts.size() + " attempts: " + id);
+            recorder.broken(attempts.size() + " attempts: " + id);
         }
     }
 
@@ -403,7 +403,7 @@
     public List<Standing> standings() {
         return on(() -> {
             Map<String, Integer> counts = new HashMap<>();
-            witness.attempts().stream().filter(attempt -> attempt.tier() == 0)
+            recorder.attempts().stream().filter(attempt -> attempt.tier() == 0)
                 .forEach(attempt -> counts.merge(attempt.endpoint(), 1, Integer::sum));
             return rows.get(0).hosts.stream().map(host -> new Standing(host.id(),
                 counts.getOrDefault(host.id(), 0), host.model().trouble())).toList();
@@ -420,12 +420,12 @@
     }
 
     private Played played(boolean whole) {
-        List<String> broken = new ArrayList<>(witness.broken());
+        List<String> broken = new ArrayList<>(recorder.broken());
         Map<String, Integer> ran = new HashMap<>();
         Map<String, Ask> byTry = new HashMap<>();
         clients.asks().forEach(ask -> ask.tries().forEach(each -> byTry.put(each.id(), ask)));
-        for (Witness.Attempt attempt : witness.attempts()) {
-            Witness.Attempt root = attempt;
+        for (AttemptRecorder.Attempt attempt : recorder.attempts()) {
+            AttemptRecorder.Attempt root = attempt;
             while (root.parent() != null) {
                 root = root.parent();
             }
@@ -450,7 +450,7 @@
                 broken.add("ended by itself: " + name);
             }
         });
-        return new Played(scenario, variant, seed, settings, whole, clients.asks(), witness, nodes, broken,
+        return new Played(scenario, variant, seed, settings, whole, clients.asks(), recorder, nodes, broken,
             new Played.Lateness(agenda.lateMicros().getValueAtPercentile(99) / 1e3,
                 agenda.lateMicros().getMaxValue() / 1e3, clients.meanLateMs(), clients.mostLateMs(),
                 callers.stream().mapToLong(Caller::waited).sum()),
--- a/lab/src/main/java/lemonrail/lab/report/Judge.java
+++ b/lab/src/main/java/lemonrail/lab/report/Judge.java
@@ -8,8 +8,8 @@
 import java.util.function.ToIntFunction;
 import lemonrail.core.Contract.RequestClass;
 import lemonrail.core.Contract.Tenant;
+import lemonrail.lab.host.AttemptRecorder;
 import lemonrail.lab.host.Played;
-import lemonrail.lab.host.Witness;
 import lemonrail.lab.model.Ask;
 import org.HdrHistogram.Histogram;
 
@@ -63,7 +63,7 @@
         Ask.Try last = ask.last();
         boolean late = last.end() == Ask.End.GIVEN_UP || last.endedMs() - last.sentMs()
             > classes.get(ask.requestClass()).deadlineMs() * played.scenario().patience().least() / 2;
-        boolean tried = ask.tries().stream().anyMatch(each -> !played.witness().of(each.id()).isEmpty());
+        boolean tried = ask.tries().stream().anyMatch(each -> !played.recorder().of(each.id()).isEmpty());
         return late && !tried ? UNTRIED_PRICE * worth(ask) : 0;
     }
 
@@ -120,7 +120,7 @@
         Histogram micros = new Histogram(MOST_MICROS, 3);
         asks.stream().filter(ask -> !Double.isNaN(ask.servedMs())).forEach(ask ->
             micros.recordValue(Math.min(MOST_MICROS, (long) ((ask.servedMs() - ask.arrivedMs()) * 1000))));
-        long attempts = played.witness().attempts().stream().filter(attempt -> attempt.tier() == 0
+        long attempts = played.recorder().attempts().stream().filter(attempt -> attempt.tier() == 0
             && attempt.beganMs() >= warmMs).count();
         return new Verdict(service, whole, worst, worstClass, worstTenant, waste, late, asks.size(),
             count(asks, end -> end == Ask.End.SERVED), count(asks, end -> end == Ask.End.REFUSED),
@@ -166,7 +166,7 @@
         played.asks().forEach(ask -> ask.tries().stream().filter(each -> each.end() == Ask.End.SERVED)
             .forEach(each -> served.add(each.id())));
         double wasted = 0;
-        for (Witness.Attempt attempt : played.witness().attempts()) {
+        for (AttemptRecorder.Attempt attempt : played.recorder().attempts()) {
             if (!Double.isNaN(attempt.ranMs()) && attempt.beganMs() >= warmMs && !useful(attempt, served)) {
                 wasted += attempt.workMs();
             }
@@ -174,7 +174,7 @@
         return wasted;
     }
 
-    private static boolean useful(Witness.Attempt attempt, Set<String> served) {
+    private static boolean useful(AttemptRecorder.Attempt attempt, Set<String> served) {
         if (!attempt.end().equals("served")) {
             return false;
         }
--- a/lab/src/main/java/lemonrail/lab/report/RunFolder.java
+++ b/lab/src/main/java/lemonrail/lab/report/RunFolder.java
@@ -12,8 +12,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import lemonrail.lab.host.AttemptRecorder;
 import lemonrail.lab.host.Played;
-import lemonrail.lab.host.Witness;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.model.Fault;
 import org.apache.commons.csv.CSVFormat;
@@ -102,7 +102,7 @@
                     ms(ask.workMs()), ask.tries().size(),
                     ask.tries().isEmpty() ? "open" : word(ask.last().end()), ms(ask.servedMs()));
                 for (Ask.Try each : ask.tries()) {
-                    tries.printRecord(ask.number(), each.id(), played.witness().sidecar(each.id()),
+                    tries.printRecord(ask.number(), each.id(), played.recorder().sidecar(each.id()),
                         ms(each.sentMs()), ms(each.endedMs()), word(each.end()), each.status());
                 }
             }
@@ -116,8 +116,8 @@
     private void attempts(Played played) throws IOException {
         try (CSVPrinter out = table("attempts.csv", "request", "sidecar", "tier", "endpoint", "began_ms",
                 "ran_ms", "ended_ms", "end", "work_ms", "for")) {
-            for (Witness.Attempt attempt : played.witness().attempts()) {
-                out.printRecord(attempt.request(), played.witness().sidecar(attempt.request()),
+            for (AttemptRecorder.Attempt attempt : played.recorder().attempts()) {
+                out.printRecord(attempt.request(), played.recorder().sidecar(attempt.request()),
                     attempt.tier() + 1, attempt.endpoint(), ms(attempt.beganMs()), ms(attempt.ranMs()),
                     ms(attempt.endedMs()), attempt.end(), ms(attempt.workMs()),
                     attempt.parent() == null ? "" : attempt.parent().request());
--- a/lab/src/test/java/lemonrail/lab/host/PlayTest.java
+++ b/lab/src/test/java/lemonrail/lab/host/PlayTest.java
@@ -101,7 +101,7 @@
         assertEquals(List.of(), played.broken());
         assertTrue(played.asks().size() > 80);
         assertAllAnswered(played);
-        assertTrue(played.witness().attempts().size() >= count(played, Ask.End.SERVED));
+        assertTrue(played.recorder().attempts().size() >= count(played, Ask.End.SERVED));
     }
 
     /** Served, but for a few that an edge which has just started may refuse. */
@@ -148,13 +148,13 @@
         assertTrue(count(played, Ask.End.SERVED) >= asked * 0.7);
         for (int tier = 0; tier < 3; tier++) {
             int place = tier;
-            List<Witness.Attempt> attempts = played.witness().attempts().stream()
+            List<AttemptRecorder.Attempt> attempts = played.recorder().attempts().stream()
                 .filter(attempt -> attempt.tier() == place).toList();
             assertTrue(attempts.size() >= count(played, Ask.End.SERVED) * (tier == 0 ? 1 : 2));
             assertTrue(attempts.stream().allMatch(attempt -> attempt.parent() == null == (place == 0)));
         }
-        assertTrue(played.witness().attempts().stream().filter(attempt -> attempt.tier() == 2)
-            .map(attempt -> played.witness().sidecar(attempt.request()))
+        assertTrue(played.recorder().attempts().stream().filter(attempt -> attempt.tier() == 2)
+            .map(attempt -> played.recorder().sidecar(attempt.request()))
             .allMatch(sidecar -> sidecar.startsWith("sidecar-3-")));
     }
 
@@ -248,7 +248,7 @@
         Played played = play(scenario("[[faults]]\nkind = \"hang\"\nbegin = \"600ms\"\nlength = \"1h\"\n"
             + "share = 1.0\n", ""), PlayTest::reckless);
         Map<String, Integer> attempts = new HashMap<>();
-        played.witness().attempts().forEach(each -> attempts.merge(each.request(), 1, Integer::sum));
+        played.recorder().attempts().forEach(each -> attempts.merge(each.request(), 1, Integer::sum));
         assertEquals(4, attempts.values().stream().mapToInt(count -> count).max().orElse(0));
     }
 
