--- a/lab/src/main/java/lemonrail/lab/cli/Runner.java
+++ b/lab/src/main/java/lemonrail/lab/cli/Runner.java
@@ -18,9 +18,9 @@
 import lemonrail.lab.host.Played;
 import lemonrail.lab.host.World;
 import lemonrail.lab.model.Ask;
-import lemonrail.lab.report.Judge;
 import lemonrail.lab.report.Report;
 import lemonrail.lab.report.RunFolder;
+import lemonrail.lab.report.Scorer;
 import lemonrail.lab.report.Verdict;
 import lemonrail.lab.scenario.Scenario;
 
@@ -98,7 +98,7 @@
                 World world = new World(scenario, variant, seed, new World.Builds(jar), scratch.path())) {
             shownNanos = System.nanoTime();
             Played played = world.play(asked -> show(scenario, variant, seed, asked));
-            Verdict verdict = Judge.judge(played);
+            Verdict verdict = Scorer.score(played);
             RunFolder kept = new RunFolder(folder);
             kept.keep(played, verdict, version());
             Report.render(kept);
--- a/lab/src/main/java/lemonrail/lab/host/World.java
+++ b/lab/src/main/java/lemonrail/lab/host/World.java
@@ -259,7 +259,7 @@
         double sentMs = agenda.nowMs();
         RequestClass kind = settings.classes().get(classNames().indexOf(of.headers().get("X-Class")));
         return caller.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
-            judgeAnswer(id, kind, end, answer, sentMs, leftMs);
+            checkAnswer(id, kind, end, answer, sentMs, leftMs);
             done.accept(end == Ask.End.SERVED);
         })::abandon;
     }
@@ -295,7 +295,7 @@
                 RequestClass kind = classes.get(places.get(ask.requestClass()));
                 callers.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
                     (end, answer) -> {
-                        judgeAnswer(id, kind, end, answer, sentMs, patienceMs);
+                        checkAnswer(id, kind, end, answer, sentMs, patienceMs);
                         reply.ended(end, answer == null ? 0 : answer.status().code(), retryAfterMs(answer));
                     });
             });
@@ -334,7 +334,7 @@
     }
 
     /** One final answer, made by an endpoint where it serves, and no refusal of what may have run. */
-    private void judgeAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
+    private void checkAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
             double sentMs, double waitMs) {
         List<AttemptRecorder.Attempt> attempts = recorder.of(id);
         if (end == Ask.End.GIVEN_UP) {
--- a/lab/src/main/java/lemonrail/lab/report/Judge.java
+++ b/lab/src/main/java/lemonrail/lab/report/Scorer.java
@@ -13,8 +13,8 @@
 import lemonrail.lab.model.Ask;
 import org.HdrHistogram.Histogram;
 
-/** Counts service as the site's brief does; the rules themselves are seen to while the run plays. */
-public final class Judge {
+/** Scores the service of a run as the site's brief does; the rules themselves are checked while it plays. */
+public final class Scorer {
 
     private static final double WHOLE_WEIGHT = 0.5;
     private static final double WORST_WINDOW_WEIGHT = 0.3;
@@ -35,15 +35,15 @@
     private final List<RequestClass> classes;
     private final Set<Ask> surplus = new HashSet<>();
 
-    private Judge(Played played) {
+    private Scorer(Played played) {
         this.played = played;
         classes = played.scenario().requests().stream().map(requests -> played.settings().classes().stream()
             .filter(kind -> kind.name().equals(requests.className())).findFirst().orElseThrow()).toList();
     }
 
-    /** Judges a run; what was due before the warm-up ended does not count. */
-    public static Verdict judge(Played played) {
-        return new Judge(played).verdict();
+    /** Scores a run; what was due before the warm-up ended does not count. */
+    public static Verdict score(Played played) {
+        return new Scorer(played).verdict();
     }
 
     private double worth(Ask ask) {
--- a/lab/src/test/java/lemonrail/lab/host/PlayTest.java
+++ b/lab/src/test/java/lemonrail/lab/host/PlayTest.java
@@ -22,9 +22,9 @@
 import lemonrail.lab.decider.Deciders;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.model.Fault;
-import lemonrail.lab.report.Judge;
 import lemonrail.lab.report.Report;
 import lemonrail.lab.report.RunFolder;
+import lemonrail.lab.report.Scorer;
 import lemonrail.lab.report.Verdict;
 import lemonrail.lab.scenario.Scenario;
 import lemonrail.lab.scenario.ScenarioFile;
@@ -290,7 +290,7 @@
             """), Deciders.BOXCAR);
         assertEquals(List.of(), played.broken());
         assertAllAnswered(played);
-        assertTrue(Judge.judge(played).p50Ms() >= 30, "twice 10 and twice 5 ms at least");
+        assertTrue(Scorer.score(played).p50Ms() >= 30, "twice 10 and twice 5 ms at least");
     }
 
     @Test
@@ -314,7 +314,7 @@
     @Test
     void aRunIsKeptAndItsReportIsMadeFromTheRawData() throws Exception {
         Played played = play(scenario("", ""), Deciders.BOXCAR);
-        Verdict verdict = Judge.judge(played);
+        Verdict verdict = Scorer.score(played);
         assertTrue(verdict.whole() > 0.8 && verdict.whole() <= 1);
         assertEquals(0, verdict.waste(), 1e-9);
         RunFolder kept = new RunFolder(folder.resolve("kept"));
