Lab: World is Testbed

A scenario on real sockets is a testbed; the models' comments speak of the run. LabLayersTest names the class anew, WorldTest, which tests models, is ModelsTest. By script and compiler; no behaviour, no text of a run changes.

--- a/lab/src/main/java/lemonrail/lab/Demo.java
+++ b/lab/src/main/java/lemonrail/lab/Demo.java
@@ -16,7 +16,7 @@
 import lemonrail.lab.decider.Deciders;
 import lemonrail.lab.host.AttemptRecorder;
 import lemonrail.lab.host.Played;
-import lemonrail.lab.host.World;
+import lemonrail.lab.host.Testbed;
 import lemonrail.lab.model.Arrivals;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.model.Clients.Retrying;
@@ -43,7 +43,7 @@
     private final PrintWriter out;
     private final boolean terminal;
     private final Scratch scratch = new Scratch();
-    private final World world;
+    private final Testbed testbed;
     private boolean sound;
     private long shownNanos;
     private long beganNanos;
@@ -54,7 +54,7 @@
         this.out = out;
         this.terminal = terminal;
         Scenario scenario = scenario(file, rate, count, calm, length.toMillis());
-        world = new World(scenario, scenario.variants().get(0), seed, new World.Builds(null),
+        testbed = new Testbed(scenario, scenario.variants().get(0), seed, new Testbed.Builds(null),
             scratch.path());
     }
 
@@ -83,11 +83,11 @@
     /** Runs to its end, or until its thread is interrupted, and tells what came of all. */
     void run() throws IOException {
         out.printf("an edge at %s:%d before %d stand-in endpoints, its log in %s%n",
-            world.address().getAddress().getHostAddress(), world.address().getPort(),
-            world.standings().size(), scratch.path());
+            testbed.address().getAddress().getHostAddress(), testbed.address().getPort(),
+            testbed.standings().size(), scratch.path());
         beganNanos = System.nanoTime();
         shownNanos = beganNanos;
-        finish(world.play(this::show));
+        finish(testbed.play(this::show));
     }
 
     private static long count(List<Ask> asks, Ask.End end) {
@@ -101,12 +101,12 @@
         }
         shownNanos += SECOND_NANOS;
         List<Ask> asks = asked.get();
-        List<World.Standing> standings = world.standings();
+        List<Testbed.Standing> standings = testbed.standings();
         long seconds = Math.round((System.nanoTime() - beganNanos) / 1e9);
         long served = count(asks, Ask.End.SERVED);
         long refused = count(asks, Ask.End.REFUSED);
         long failed = count(asks, Ask.End.FAILED);
-        int attempts = standings.stream().mapToInt(World.Standing::attempts).sum();
+        int attempts = standings.stream().mapToInt(Testbed.Standing::attempts).sum();
         if (!terminal) {
             StringBuilder each = new StringBuilder();
             standings.forEach(of -> each.append(String.format(Locale.ROOT, "  %s %d%s", of.id(),
@@ -125,7 +125,7 @@
         out.flush();
     }
 
-    private static String word(World.Standing of) {
+    private static String word(Testbed.Standing of) {
         return of.trouble().isEmpty() ? "" : " (" + of.trouble() + ")";
     }
 
@@ -157,7 +157,7 @@
 
     @Override
     public void close() throws IOException {
-        world.close();
+        testbed.close();
         scratch.close();
     }
 }
--- a/lab/src/main/java/lemonrail/lab/cli/Runner.java
+++ b/lab/src/main/java/lemonrail/lab/cli/Runner.java
@@ -16,7 +16,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import lemonrail.lab.host.Played;
-import lemonrail.lab.host.World;
+import lemonrail.lab.host.Testbed;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.report.Report;
 import lemonrail.lab.report.RunFolder;
@@ -95,9 +95,10 @@
         Path folder = folder().resolve(scenario.name()).resolve(variant.name() + "-" + seed);
         Files.createDirectories(folder);
         try (Interrupts interrupts = new Interrupts(); Scratch scratch = new Scratch();
-                World world = new World(scenario, variant, seed, new World.Builds(jar), scratch.path())) {
+                Testbed testbed = new Testbed(scenario, variant, seed, new Testbed.Builds(jar),
+                    scratch.path())) {
             shownNanos = System.nanoTime();
-            Played played = world.play(asked -> show(scenario, variant, seed, asked));
+            Played played = testbed.play(asked -> show(scenario, variant, seed, asked));
             Verdict verdict = Scorer.score(played);
             RunFolder kept = new RunFolder(folder);
             kept.keep(played, verdict, version());
--- a/lab/src/main/java/lemonrail/lab/host/AgentHost.java
+++ b/lab/src/main/java/lemonrail/lab/host/AgentHost.java
@@ -45,7 +45,7 @@
      * An agent at a free port.
      *
      * @param addresses where the sidecar reaches an endpoint
-     * @param unixMs the Unix time at which the world began
+     * @param unixMs the Unix time at which the run began
      */
     AgentHost(EventLoop loop, Registry.Agent agent, Function<String, EndpointHost> endpoints,
             Function<String, InetSocketAddress> addresses, double unixMs) {
--- a/lab/src/main/java/lemonrail/lab/host/AttemptRecorder.java
+++ b/lab/src/main/java/lemonrail/lab/host/AttemptRecorder.java
@@ -9,7 +9,7 @@
 /** Records every attempt at every endpoint and what sidecars were told, and checks the rules by both. */
 public final class AttemptRecorder {
 
-    /** One request as an endpoint saw it; times are the world's, NaN where it did not come to that. */
+    /** One request as an endpoint saw it; times are the run's, NaN where it did not come to that. */
     public static final class Attempt {
         private final String request;
         private final int tier;
--- a/lab/src/main/java/lemonrail/lab/host/LoopAgenda.java
+++ b/lab/src/main/java/lemonrail/lab/host/LoopAgenda.java
@@ -21,7 +21,7 @@
         this.loop = loop;
     }
 
-    /** The world begins now. */
+    /** The run begins now. */
     public void begin() {
         beganNanos = System.nanoTime();
         begun = true;
--- a/lab/src/main/java/lemonrail/lab/host/World.java
+++ b/lab/src/main/java/lemonrail/lab/host/Testbed.java
@@ -49,7 +49,7 @@
  * A scenario on loopback sockets: endpoints and discovery as models, a real sidecar before each caller of a
  * tier, clients in an open loop. All models live on one event loop.
  */
-public final class World implements AutoCloseable {
+public final class Testbed implements AutoCloseable {
 
     /** A sidecar may answer by so much later than its client gives up, before a rule is broken. */
     static final double ANSWER_SLACK_MS = 50;
@@ -77,7 +77,7 @@
     private final Path folder;
     private final Settings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-        new DefaultThreadFactory("world", true), NioIoHandler.newFactory());
+        new DefaultThreadFactory("testbed", true), NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final LoopAgenda agenda = new LoopAgenda(loop);
     private final AttemptRecorder recorder;
@@ -91,8 +91,8 @@
     private double cpuBeganMs;
     private double cpuMs;
 
-    /** Sets a world up and starts its sidecars; {@code folder} keeps their files and logs. */
-    public World(Scenario scenario, Scenario.Variant variant, long seed, Builds builds, Path folder)
+    /** Sets a testbed up and starts its sidecars; {@code folder} keeps their files and logs. */
+    public Testbed(Scenario scenario, Scenario.Variant variant, long seed, Builds builds, Path folder)
             throws IOException, InterruptedException {
         this.scenario = scenario;
         this.variant = variant;
--- a/lab/src/main/java/lemonrail/lab/model/Agenda.java
+++ b/lab/src/main/java/lemonrail/lab/model/Agenda.java
@@ -1,7 +1,7 @@
 package lemonrail.lab.model;
 
 /**
- * The time of a world and what is still to happen in it. A model takes its time from here and from nowhere
+ * The time of a run and what is still to happen in it. A model takes its time from here and from nowhere
  * else, so that the same model lives on sockets and under a virtual clock. Used from one thread.
  */
 public interface Agenda {
@@ -12,7 +12,7 @@
         void cancel();
     }
 
-    /** Milliseconds since the world began; never runs backwards. */
+    /** Milliseconds since the run began; never runs backwards. */
     double nowMs();
 
     /** Has something happen in so many milliseconds, or as soon as may be where that is 0 or less. */
--- a/lab/src/main/java/lemonrail/lab/model/Arrivals.java
+++ b/lab/src/main/java/lemonrail/lab/model/Arrivals.java
@@ -22,7 +22,7 @@
     private final List<Burst> bursts = new ArrayList<>();
     private double atMs;
 
-    /** Requests at so many a second, from the beginning of the world on. */
+    /** Requests at so many a second, from the beginning of the run on. */
     public Arrivals(double perSecond, Spacing spacing, UniformRandomProvider random) {
         perMs = perSecond / 1000;
         this.spacing = spacing;
--- a/lab/src/main/java/lemonrail/lab/model/Ask.java
+++ b/lab/src/main/java/lemonrail/lab/model/Ask.java
@@ -22,7 +22,7 @@
         UNREACHED
     }
 
-    /** One try; its times are the world's, in ms. */
+    /** One try; its times are the run's, in ms. */
     public record Try(String id, double sentMs, double endedMs, End end, int status) {
     }
 
@@ -49,7 +49,7 @@
         return number;
     }
 
-    /** When it was due, in ms of the world. */
+    /** When it was due, in ms of the run. */
     public double arrivedMs() {
         return arrivedMs;
     }
--- a/lab/src/main/java/lemonrail/lab/model/Endpoint.java
+++ b/lab/src/main/java/lemonrail/lab/model/Endpoint.java
@@ -395,7 +395,7 @@
         return mostHeld;
     }
 
-    /** Milliseconds of work done since the world began, on a core of speed 1. */
+    /** Milliseconds of work done since the run began, on a core of speed 1. */
     public double doneMs() {
         settle();
         return doneMs;
@@ -423,7 +423,7 @@
         return silent;
     }
 
-    /** When it started last, or minus infinity where that was before the world began. */
+    /** When it started last, or minus infinity where that was before the run began. */
     public double startedMs() {
         return startedMs;
     }
--- a/lab/src/main/java/lemonrail/lab/model/Fault.java
+++ b/lab/src/main/java/lemonrail/lab/model/Fault.java
@@ -4,7 +4,7 @@
  * One thing that goes wrong.
  *
  * @param tier whose endpoints or links it befalls
- * @param beginMs and lengthMs when, in ms of the world; it may outlast the run
+ * @param beginMs and lengthMs when, in ms of the run, which it may outlast
  * @param share of the tier's endpoints, at least one; 0 for all of one rack
  * @param size as its kind says
  */
--- a/lab/src/main/java/lemonrail/lab/model/VirtualAgenda.java
+++ b/lab/src/main/java/lemonrail/lab/model/VirtualAgenda.java
@@ -2,7 +2,7 @@
 
 import java.util.PriorityQueue;
 
-/** A world without waiting: the clock stands still while something happens and then leaps to what is next. */
+/** A run without waiting: the clock stands still while something happens and then leaps to what is next. */
 public final class VirtualAgenda implements Agenda {
 
     private static final class Entry implements Due, Comparable<Entry> {
--- a/lab/src/test/java/lemonrail/lab/LabLayersTest.java
+++ b/lab/src/test/java/lemonrail/lab/LabLayersTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void oneClockIsEnough() {
-        ArchRuleDefinition.noClasses().that().doNotHaveSimpleName("World").should()
+        ArchRuleDefinition.noClasses().that().doNotHaveSimpleName("Testbed").should()
             .callMethod(System.class, "currentTimeMillis")
             .because("clock steps must not move a measurement").check(classes);
     }
--- a/lab/src/test/java/lemonrail/lab/fleet/Fleet.java
+++ b/lab/src/test/java/lemonrail/lab/fleet/Fleet.java
@@ -41,7 +41,7 @@
  */
 final class Fleet {
 
-    /** The deciders' clock when the world begins: a start time of 0 is the distant past to them. */
+    /** The deciders' clock when the run begins: a start time of 0 is the distant past to them. */
     static final double EPOCH_MS = 1_000_000;
     static final double AIM_MS = 2000;
     static final double DEADLINE_MS = 5000;
--- a/lab/src/test/java/lemonrail/lab/host/PlayTest.java
+++ b/lab/src/test/java/lemonrail/lab/host/PlayTest.java
@@ -85,8 +85,9 @@
 
     private Played play(Scenario scenario, Decider decider) throws IOException, InterruptedException {
         Scenario.Variant variant = new Scenario.Variant("it", decider, Map.of(), null);
-        try (World world = new World(scenario, variant, 7, new World.Builds(null), folder.resolve("run"))) {
-            return world.play(asks -> { });
+        try (Testbed testbed = new Testbed(scenario, variant, 7, new Testbed.Builds(null),
+                folder.resolve("run"))) {
+            return testbed.play(asks -> { });
         }
     }
 
@@ -298,8 +299,9 @@
         Scenario scenario = scenario("", "");
         Scenario.Variant variant = scenario.variants().get(0);
         Thread player = Thread.currentThread();
-        try (World world = new World(scenario, variant, 1, new World.Builds(null), folder.resolve("run"))) {
-            Played played = world.play(asks -> {
+        try (Testbed testbed = new Testbed(scenario, variant, 1, new Testbed.Builds(null),
+                folder.resolve("run"))) {
+            Played played = testbed.play(asks -> {
                 if (asks.get().size() > 30) {
                     player.interrupt();
                 }
--- a/lab/src/test/java/lemonrail/lab/model/WorldTest.java
+++ b/lab/src/test/java/lemonrail/lab/model/ModelsTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Clients, arrivals and discovery. */
-class WorldTest {
+class ModelsTest {
 
     private final VirtualAgenda agenda = new VirtualAgenda();
     private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create(5L);
