--- a/lab/src/main/java/lemonrail/lab/host/Caller.java
+++ b/lab/src/main/java/lemonrail/lab/host/ClientPool.java
@@ -24,10 +24,10 @@
 import lemonrail.lab.model.Ask;
 
 /**
- * Clients at one address: one request at a time on a connection, connections kept and more opened when all
- * are busy, up to a bound beyond which requests wait. Belongs to its event loop.
+ * Connections of clients to one address: one request at a time on each; they are kept, and more are opened
+ * when all are busy, up to a bound beyond which requests wait. Belongs to its event loop.
  */
-public final class Caller implements AutoCloseable {
+public final class ClientPool implements AutoCloseable {
 
     private static final int MOST_BODY_BYTES = 64 * 1024;
     private static final long MOST_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
@@ -97,12 +97,12 @@
     private boolean closed;
 
     /** Clients with so many connections at most. */
-    public Caller(EventLoop loop, InetSocketAddress address, int most) {
+    public ClientPool(EventLoop loop, InetSocketAddress address, int most) {
         this(loop, address, most, false);
     }
 
     /** The same; where calls are spread, all connections are opened and used in turn. */
-    public Caller(EventLoop loop, InetSocketAddress address, int most, boolean spread) {
+    public ClientPool(EventLoop loop, InetSocketAddress address, int most, boolean spread) {
         this.spread = spread;
         this.loop = loop;
         this.address = address;
--- a/lab/src/main/java/lemonrail/lab/host/Testbed.java
+++ b/lab/src/main/java/lemonrail/lab/host/Testbed.java
@@ -84,7 +84,7 @@
     private final List<Row> rows = new ArrayList<>();
     private final Map<String, SidecarHost> sidecars = new LinkedHashMap<>();
     private final List<AutoCloseable> parts = new ArrayList<>();
-    private final List<Caller> callers = new ArrayList<>();
+    private final List<ClientPool> pools = new ArrayList<>();
     private final List<String> names = new ArrayList<>();
     private Clients clients;
     private FaultPlayer faults;
@@ -119,7 +119,7 @@
                 parts.add(relay);
                 at = relay.address();
             }
-            callers.add(new Caller(loop, at, Math.max(1, scenario.load().connections() / front)));
+            pools.add(new ClientPool(loop, at, Math.max(1, scenario.load().connections() / front)));
             names.add(name(0, i));
         }
         for (int tier = 1; tier < rows.size(); tier++) {
@@ -224,16 +224,16 @@
         List<EndpointHost> above = rows.get(tier - 1).hosts;
         for (int i = 0; i < above.size(); i++) {
             String name = name(tier, i);
-            Caller caller = new Caller(loop, sidecar(tier, i, above.size()),
+            ClientPool pool = new ClientPool(loop, sidecar(tier, i, above.size()),
                 scenario.tiers().get(tier - 1).slots());
-            parts.add(caller);
+            parts.add(pool);
             UniformRandomProvider random = random("calls of " + name);
-            above.get(i).next((of, onBehalfOf, leftMs, done) -> call(caller, name, random, of, onBehalfOf,
+            above.get(i).next((of, onBehalfOf, leftMs, done) -> call(pool, name, random, of, onBehalfOf,
                 leftMs, done));
         }
     }
 
-    private Runnable call(Caller caller, String sidecar, UniformRandomProvider random, FullHttpRequest of,
+    private Runnable call(ClientPool pool, String sidecar, UniformRandomProvider random, FullHttpRequest of,
             AttemptRecorder.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done) {
         if (leftMs < 1) {
             agenda.after(0, () -> done.accept(false));
@@ -258,7 +258,7 @@
         recorder.sent(id, sidecar, onBehalfOf);
         double sentMs = agenda.nowMs();
         RequestClass kind = settings.classes().get(classNames().indexOf(of.headers().get("X-Class")));
-        return caller.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
+        return pool.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
             checkAnswer(id, kind, end, answer, sentMs, leftMs);
             done.accept(end == Ask.End.SERVED);
         })::abandon;
@@ -289,11 +289,11 @@
         clients = new Clients(agenda, new Clients.Shape(kinds, shares, scenario.retrying(),
             scenario.patience().least(), scenario.patience().most(), scenario.load().exponentialWork()),
             arrivals, scenario.load().lengthMs(), random("clients"), (ask, id, patienceMs, reply) -> {
-                int to = dealt.nextInt(callers.size());
+                int to = dealt.nextInt(pools.size());
                 recorder.sent(id, names.get(to), null);
                 double sentMs = agenda.nowMs();
                 RequestClass kind = classes.get(places.get(ask.requestClass()));
-                callers.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
+                pools.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
                     (end, answer) -> {
                         checkAnswer(id, kind, end, answer, sentMs, patienceMs);
                         reply.ended(end, answer == null ? 0 : answer.status().code(), retryAfterMs(answer));
@@ -453,16 +453,16 @@
         return new Played(scenario, variant, seed, settings, whole, clients.asks(), recorder, nodes, broken,
             new Played.Lateness(agenda.lateMicros().getValueAtPercentile(99) / 1e3,
                 agenda.lateMicros().getMaxValue() / 1e3, clients.meanLateMs(), clients.mostLateMs(),
-                callers.stream().mapToLong(Caller::waited).sum()),
-            callers.stream().mapToInt(Caller::mostOpen).sum(), cpuMs);
+                pools.stream().mapToLong(ClientPool::waited).sum()),
+            pools.stream().mapToInt(ClientPool::mostOpen).sum(), cpuMs);
     }
 
     @Override
     public void close() {
         sidecars.values().forEach(SidecarHost::close);
         loop.submit(() -> {
-            for (Caller caller : callers) {
-                caller.close();
+            for (ClientPool pool : pools) {
+                pool.close();
             }
             for (AutoCloseable part : parts) {
                 try {
--- a/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
+++ b/lab/src/main/java/lemonrail/lab/load/OpenLoop.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
-import lemonrail.lab.host.Caller;
+import lemonrail.lab.host.ClientPool;
 import lemonrail.lab.model.Arrivals;
 import lemonrail.lab.model.Ask;
 import org.HdrHistogram.Histogram;
@@ -65,7 +65,7 @@
     private final Plan plan;
     private final Arrivals arrivals;
     private final IntFunction<FullHttpRequest> requests;
-    private final Caller caller;
+    private final ClientPool pool;
     private final Histogram micros = new Histogram(MOST_MICROS, 3);
     private final Histogram late = new Histogram(MOST_MICROS, 3);
     private Runnable over;
@@ -87,7 +87,7 @@
         this.plan = plan;
         this.arrivals = arrivals;
         this.requests = requests;
-        caller = new Caller(loop, address, plan.connections(), plan.spread());
+        pool = new ClientPool(loop, address, plan.connections(), plan.spread());
     }
 
     /** Begins; {@code over} is called once all has been sent and has ended. */
@@ -126,7 +126,7 @@
             sent++;
             late.recordValue(Math.min(MOST_MICROS, (long) ((nowMs() - due) * 1000)));
         }
-        caller.send(requests.apply(made++), plan.timeoutMs(), (end, answer) -> {
+        pool.send(requests.apply(made++), plan.timeoutMs(), (end, answer) -> {
             open--;
             if (counts) {
                 count(end, due);
@@ -150,7 +150,7 @@
     private void endWhenEmpty() {
         if (ending && open == 0) {
             ending = false;
-            caller.close();
+            pool.close();
             over.run();
         }
     }
@@ -169,6 +169,6 @@
     public Result result() {
         return new Result(plan, sent, served, refused, failed, lost, micros.copy(),
             Math.min(nowMs(), plan.lengthMs()) - plan.warmUpMs(), late.getValueAtPercentile(99) / 1e3,
-            late.getMaxValue() / 1e3, caller.mostOpen(), caller.waited());
+            late.getMaxValue() / 1e3, pool.mostOpen(), pool.waited());
     }
 }
--- a/lab/src/main/java/lemonrail/lab/scale/path/Hop.java
+++ b/lab/src/main/java/lemonrail/lab/scale/path/Hop.java
@@ -24,7 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
-import lemonrail.lab.host.Caller;
+import lemonrail.lab.host.ClientPool;
 import lemonrail.lab.load.Loads;
 import lemonrail.lab.model.Ask;
 import org.HdrHistogram.Histogram;
@@ -47,7 +47,7 @@
     /** How long services took over calls that their callers have not heard of yet, by the call's id. */
     private final Map<String, Long> tookNanos;
     private final Channel listener;
-    private final Caller next;
+    private final ClientPool next;
     private final IntFunction<FullHttpRequest> requests;
     private final Histogram addedMicros = new Histogram(MOST_MICROS, 3);
     private int made;
@@ -55,7 +55,7 @@
     private Hop(SpinningLoop standIns, Map<String, Long> tookNanos, InetSocketAddress to) {
         this.standIns = standIns;
         this.tookNanos = tookNanos;
-        next = to == null ? null : new Caller(standIns.loop(), to, MOST_CONNECTIONS);
+        next = to == null ? null : new ClientPool(standIns.loop(), to, MOST_CONNECTIONS);
         requests = Loads.requests(HttpMethod.GET, NAME, "/api", Map.of("X-Class", ServedProcess.CLASS,
             "X-Deadline-Ms", String.valueOf(ServedProcess.DEADLINE_MS)), false, System.nanoTime());
         listener = new ServerBootstrap().group(standIns.group()).channel(NioServerSocketChannel.class)
