Lab: the control planes are named for what they are

RegistryPlane is RegistryControlPlane, NodesPlane is NodesControlPlane: both are a ControlPlane, which is the field's term.

--- a/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
+++ b/lab/src/main/java/lemonrail/lab/cli/ScaleControlCall.java
@@ -4,8 +4,8 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import lemonrail.lab.scale.NodesPlane;
-import lemonrail.lab.scale.RegistryPlane;
+import lemonrail.lab.scale.NodesControlPlane;
+import lemonrail.lab.scale.RegistryControlPlane;
 import lemonrail.lab.scale.ScaleFile;
 import lemonrail.lab.scale.ScaleResults;
 import lemonrail.lab.scale.ScaleRun;
@@ -51,8 +51,8 @@
         try (Interrupts interrupts = new Interrupts(); Scratch scratch = new Scratch()) {
             ScaleResults results = ScaleRun.play(scenario, ServeCommand.of(home), scratch.path(),
                 Runner.version(),
-                nodes == 0 ? RegistryPlane::new
-                    : () -> new NodesPlane(nodes, scenario.site().regions()), out);
+                nodes == 0 ? RegistryControlPlane::new
+                    : () -> new NodesControlPlane(nodes, scenario.site().regions()), out);
             Path folder = kept.resolve(scenario.name());
             results.keep(folder);
             out.println(results.table(Slope.of(results.points())));
--- a/lab/src/main/java/lemonrail/lab/scale/NodesPlane.java
+++ b/lab/src/main/java/lemonrail/lab/scale/NodesControlPlane.java
@@ -36,7 +36,7 @@
  * The control role: nodes in two regions that watch each other, on loops of their own in this process. A list
  * is a service; sidecars watch at the nodes of their region, and at the others where those don't answer.
  */
-public final class NodesPlane implements ControlPlane {
+public final class NodesControlPlane implements ControlPlane {
 
     private static final String DOCUMENT = "base";
     private static final long PATIENCE_MS = 20_000;
@@ -70,7 +70,7 @@
     private int watches;
 
     /** So many nodes, spread evenly over so many regions. */
-    public NodesPlane(int count, int regions) {
+    public NodesControlPlane(int count, int regions) {
         this.regions = regions;
         try {
             folder = Files.createTempDirectory("control");
--- a/lab/src/main/java/lemonrail/lab/scale/RegistryPlane.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RegistryControlPlane.java
@@ -14,7 +14,7 @@
 import lemonrail.logging.EventLog;
 
 /** Today's way: one registry, whose one address each sidecar has from its file; settings are files. */
-public final class RegistryPlane implements ControlPlane {
+public final class RegistryControlPlane implements ControlPlane {
 
     private final RegistryNode node = new RegistryNode("control-0");
     /** Where hollow sidecars watch each list, and a second place of the same. */
--- a/lab/src/test/java/lemonrail/lab/scale/HollowFleetTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/HollowFleetTest.java
@@ -29,7 +29,7 @@
 
     @TempDir
     private Path folder;
-    private final RegistryPlane plane = new RegistryPlane();
+    private final RegistryControlPlane plane = new RegistryControlPlane();
     private HollowFleet fleet;
 
     @BeforeEach
--- a/lab/src/test/java/lemonrail/lab/scale/NodesPlaneTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/NodesControlPlaneTest.java
@@ -14,7 +14,7 @@
 
 /** The scale run's small form before control nodes: the whole way of a change, with two real edges. */
 @Timeout(180)
-class NodesPlaneTest {
+class NodesControlPlaneTest {
 
     @TempDir
     private Path folder;
@@ -27,7 +27,8 @@
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
             System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"), folder);
-        ScaleResults results = ScaleRun.play(scenario, command, folder, "test", () -> new NodesPlane(4, 2),
+        ScaleResults results = ScaleRun.play(scenario, command, folder, "test",
+            () -> new NodesControlPlane(4, 2),
             new PrintWriter(new StringWriter(), true));
         Path kept = folder.resolve("kept");
         results.keep(kept);
--- a/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
+++ b/lab/src/test/java/lemonrail/lab/scale/ScaleRunTest.java
@@ -36,7 +36,7 @@
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
             System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"), folder);
         StringWriter words = new StringWriter();
-        ScaleResults results = ScaleRun.play(scenario, command, folder, "test", RegistryPlane::new,
+        ScaleResults results = ScaleRun.play(scenario, command, folder, "test", RegistryControlPlane::new,
             new PrintWriter(words, true));
         Path kept = folder.resolve("kept");
         results.keep(kept);
@@ -58,7 +58,7 @@
 
     /** A control that tells one endpoint's changes to nobody. */
     private static final class Forgetful implements ControlPlane {
-        private final RegistryPlane registry = new RegistryPlane();
+        private final RegistryControlPlane registry = new RegistryControlPlane();
         private final String forgotten;
 
         Forgetful(String forgotten) {
@@ -157,7 +157,7 @@
         ScaleScenario scenario = ScaleFile.read(Path.of("scenarios", "scale-small.toml"));
         ServeCommand ends = new ServeCommand(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-version"), folder);
-        ScaleResults results = ScaleRun.play(scenario, ends, folder, "test", RegistryPlane::new,
+        ScaleResults results = ScaleRun.play(scenario, ends, folder, "test", RegistryControlPlane::new,
             new PrintWriter(new StringWriter()));
         assertEquals("a sidecar has ended while starting", results.cutShort());
         assertFalse(results.passes());
