--- a/lab/src/main/java/lemonrail/lab/host/World.java
+++ b/lab/src/main/java/lemonrail/lab/host/Testbed.java
@@ -49,7 +49,7 @@
  * A scenario on loopback sockets: endpoints and discovery as models, a real sidecar before each caller of a
  * tier, clients in an open loop. All models live on one event loop.
  */
-public final class World implements AutoCloseable {
+public final class Testbed implements AutoCloseable {
 
     /** A sidecar may answer by so much later than its client gives up, before a rule is broken. */
     static final double ANSWER_SLACK_MS = 50;
@@ -77,22 +77,22 @@
     private final Path folder;
     private final Settings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-        new DefaultThreadFactory("world", true), NioIoHandler.newFactory());
+        new DefaultThreadFactory("testbed", true), NioIoHandler.newFactory());
     private final EventLoop loop = (EventLoop) group.next();
     private final LoopAgenda agenda = new LoopAgenda(loop);
-    private final Witness witness;
+    private final AttemptRecorder recorder;
     private final List<Row> rows = new ArrayList<>();
     private final Map<String, SidecarHost> sidecars = new LinkedHashMap<>();
     private final List<AutoCloseable> parts = new ArrayList<>();
-    private final List<Caller> callers = new ArrayList<>();
+    private final List<ClientPool> pools = new ArrayList<>();
     private final List<String> names = new ArrayList<>();
     private Clients clients;
     private FaultPlayer faults;
     private double cpuBeganMs;
     private double cpuMs;
 
-    /** Sets a world up and starts its sidecars; {@code folder} keeps their files and logs. */
-    public World(Scenario scenario, Scenario.Variant variant, long seed, Builds builds, Path folder)
+    /** Sets a testbed up and starts its sidecars; {@code folder} keeps their files and logs. */
+    public Testbed(Scenario scenario, Scenario.Variant variant, long seed, Builds builds, Path folder)
             throws IOException, InterruptedException {
         this.scenario = scenario;
         this.variant = variant;
@@ -100,7 +100,7 @@
         this.builds = builds;
         this.folder = Files.createDirectories(folder);
         settings = EdgeSettings.load(scenario.edge(), variant.set());
-        witness = new Witness(agenda, settings.rules().drainGraceMs(), linkMs());
+        recorder = new AttemptRecorder(agenda, settings.rules().drainGraceMs(), linkMs());
         try {
             start();
         } catch (IOException | InterruptedException | RuntimeException e) {
@@ -119,7 +119,7 @@
                 parts.add(relay);
                 at = relay.address();
             }
-            callers.add(new Caller(loop, at, Math.max(1, scenario.load().connections() / front)));
+            pools.add(new ClientPool(loop, at, Math.max(1, scenario.load().connections() / front)));
             names.add(name(0, i));
         }
         for (int tier = 1; tier < rows.size(); tier++) {
@@ -178,7 +178,7 @@
                 }
                 double calls = tier.calls();
                 EndpointHost host = new EndpointHost(loop, agenda, model, i, tier.workShare(),
-                    () -> (int) calls + (random.nextDouble() < calls - (int) calls ? 1 : 0), witness);
+                    () -> (int) calls + (random.nextDouble() < calls - (int) calls ? 1 : 0), recorder);
                 row.hosts.add(host);
                 row.byId.put(host.id(), host);
                 parts.add(host);
@@ -199,7 +199,7 @@
         String name = name(tier, number);
         Row row = rows.get(tier);
         Registry.Agent source = on(() -> row.registry.agent(line ->
-            witness.told(name, line.id(), line.state() == Registry.State.IN_SERVICE)));
+            recorder.told(name, line.id(), line.state() == Registry.State.IN_SERVICE)));
         AgentHost agent = new AgentHost(loop, source, row.byId::get,
             id -> row.links.containsKey(row.byId.get(id)) ? row.links.get(row.byId.get(id)).address()
                 : row.byId.get(id).address(), System.currentTimeMillis());
@@ -224,17 +224,17 @@
         List<EndpointHost> above = rows.get(tier - 1).hosts;
         for (int i = 0; i < above.size(); i++) {
             String name = name(tier, i);
-            Caller caller = new Caller(loop, sidecar(tier, i, above.size()),
+            ClientPool pool = new ClientPool(loop, sidecar(tier, i, above.size()),
                 scenario.tiers().get(tier - 1).slots());
-            parts.add(caller);
+            parts.add(pool);
             UniformRandomProvider random = random("calls of " + name);
-            above.get(i).next((of, onBehalfOf, leftMs, done) -> call(caller, name, random, of, onBehalfOf,
+            above.get(i).next((of, onBehalfOf, leftMs, done) -> call(pool, name, random, of, onBehalfOf,
                 leftMs, done));
         }
     }
 
-    private Runnable call(Caller caller, String sidecar, UniformRandomProvider random, FullHttpRequest of,
-            Witness.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done) {
+    private Runnable call(ClientPool pool, String sidecar, UniformRandomProvider random, FullHttpRequest of,
+            AttemptRecorder.Attempt onBehalfOf, double leftMs, Consumer<Boolean> done) {
         if (leftMs < 1) {
             agenda.after(0, () -> done.accept(false));
             return () -> { };
@@ -255,11 +255,11 @@
             // The calls of one request are things of their own; the same call of its repeat is not.
             request.headers().set("Idempotency-Key", key + "." + number);
         }
-        witness.sent(id, sidecar, onBehalfOf);
+        recorder.sent(id, sidecar, onBehalfOf);
         double sentMs = agenda.nowMs();
         RequestClass kind = settings.classes().get(classNames().indexOf(of.headers().get("X-Class")));
-        return caller.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
-            judgeAnswer(id, kind, end, answer, sentMs, leftMs);
+        return pool.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
+            checkAnswer(id, kind, end, answer, sentMs, leftMs);
             done.accept(end == Ask.End.SERVED);
         })::abandon;
     }
@@ -289,13 +289,13 @@
         clients = new Clients(agenda, new Clients.Shape(kinds, shares, scenario.retrying(),
             scenario.patience().least(), scenario.patience().most(), scenario.load().exponentialWork()),
             arrivals, scenario.load().lengthMs(), random("clients"), (ask, id, patienceMs, reply) -> {
-                int to = dealt.nextInt(callers.size());
-                witness.sent(id, names.get(to), null);
+                int to = dealt.nextInt(pools.size());
+                recorder.sent(id, names.get(to), null);
                 double sentMs = agenda.nowMs();
                 RequestClass kind = classes.get(places.get(ask.requestClass()));
-                callers.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
+                pools.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
                     (end, answer) -> {
-                        judgeAnswer(id, kind, end, answer, sentMs, patienceMs);
+                        checkAnswer(id, kind, end, answer, sentMs, patienceMs);
                         reply.ended(end, answer == null ? 0 : answer.status().code(), retryAfterMs(answer));
                     });
             });
@@ -334,26 +334,26 @@
     }
 
     /** One final answer, made by an endpoint where it serves, and no refusal of what may have run. */
-    private void judgeAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
+    private void checkAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
             double sentMs, double waitMs) {
-        List<Witness.Attempt> attempts = witness.of(id);
+        List<AttemptRecorder.Attempt> attempts = recorder.of(id);
         if (end == Ask.End.GIVEN_UP) {
-            witness.broken("no answer within " + Math.round(agenda.nowMs() - sentMs) + " of "
+            recorder.broken("no answer within " + Math.round(agenda.nowMs() - sentMs) + " of "
                 + Math.round(waitMs) + " ms: " + id);
         } else if (end == Ask.End.LOST && scenario.clientLink().isPlain()) {
-            witness.broken("the connection ended without a whole answer: " + id);
+            recorder.broken("the connection ended without a whole answer: " + id);
         } else if (end == Ask.End.SERVED) {
             String body = answer.content().toString(StandardCharsets.UTF_8);
             if (attempts.stream().noneMatch(attempt -> body.equals(attempt.endpoint() + " " + id))) {
-                witness.broken("served with what no endpoint made for it: " + id);
+                recorder.broken("served with what no endpoint made for it: " + id);
             }
         }
         if (end == Ask.End.REFUSED && !kind.refusableAfterRun()
                 && attempts.stream().anyMatch(attempt -> !Double.isNaN(attempt.ranMs()))) {
-            witness.broken("refused after it may have run: " + id);
+            recorder.broken("refused after it may have run: " + id);
         }
         if (attempts.size() > settings.limits().tries()) {
-            witness.broken(attempts.size() + " attempts: " + id);
+            recorder.broken(attempts.size() + " attempts: " + id);
         }
     }
 
@@ -403,7 +403,7 @@
     public List<Standing> standings() {
         return on(() -> {
             Map<String, Integer> counts = new HashMap<>();
-            witness.attempts().stream().filter(attempt -> attempt.tier() == 0)
+            recorder.attempts().stream().filter(attempt -> attempt.tier() == 0)
                 .forEach(attempt -> counts.merge(attempt.endpoint(), 1, Integer::sum));
             return rows.get(0).hosts.stream().map(host -> new Standing(host.id(),
                 counts.getOrDefault(host.id(), 0), host.model().trouble())).toList();
@@ -420,12 +420,12 @@
     }
 
     private Played played(boolean whole) {
-        List<String> broken = new ArrayList<>(witness.broken());
+        List<String> broken = new ArrayList<>(recorder.broken());
         Map<String, Integer> ran = new HashMap<>();
         Map<String, Ask> byTry = new HashMap<>();
         clients.asks().forEach(ask -> ask.tries().forEach(each -> byTry.put(each.id(), ask)));
-        for (Witness.Attempt attempt : witness.attempts()) {
-            Witness.Attempt root = attempt;
+        for (AttemptRecorder.Attempt attempt : recorder.attempts()) {
+            AttemptRecorder.Attempt root = attempt;
             while (root.parent() != null) {
                 root = root.parent();
             }
@@ -450,19 +450,19 @@
                 broken.add("ended by itself: " + name);
             }
         });
-        return new Played(scenario, variant, seed, settings, whole, clients.asks(), witness, nodes, broken,
+        return new Played(scenario, variant, seed, settings, whole, clients.asks(), recorder, nodes, broken,
             new Played.Lateness(agenda.lateMicros().getValueAtPercentile(99) / 1e3,
                 agenda.lateMicros().getMaxValue() / 1e3, clients.meanLateMs(), clients.mostLateMs(),
-                callers.stream().mapToLong(Caller::waited).sum()),
-            callers.stream().mapToInt(Caller::mostOpen).sum(), cpuMs);
+                pools.stream().mapToLong(ClientPool::waited).sum()),
+            pools.stream().mapToInt(ClientPool::mostOpen).sum(), cpuMs);
     }
 
     @Override
     public void close() {
         sidecars.values().forEach(SidecarHost::close);
         loop.submit(() -> {
-            for (Caller caller : callers) {
-                caller.close();
+            for (ClientPool pool : pools) {
+                pool.close();
             }
             for (AutoCloseable part : parts) {
                 try {
--- a/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
+++ b/lab/src/main/java/lemonrail/lab/scale/RealSidecar.java
@@ -4,10 +4,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import lemonrail.lab.host.ChildProcess;
+import lemonrail.lab.host.ProcessUsage;
 import lemonrail.lab.host.SidecarHost;
 
 /** A whole sidecar in a process of its own, by the command of service, as the platform starts it. */
@@ -15,15 +15,14 @@
 
     private final String name;
     private final ChildProcess child;
-    private final ProcessCost cost;
     private final InetSocketAddress listen;
     private final Path file;
     private final Path log;
+    private ProcessUsage usage = ProcessUsage.NONE;
 
     private RealSidecar(String name, ChildProcess child, InetSocketAddress listen, Path file, Path log) {
         this.name = name;
         this.child = child;
-        cost = new ProcessCost(child.process().pid());
         this.listen = listen;
         this.file = file;
         this.log = log;
@@ -35,19 +34,15 @@
      * @param balancers how many watch the same list, which is what it paces its calls by
      * @param group whose traffic is counted, and who is heard
      */
-    static RealSidecar start(String name, Program program, Path scratch, ControlPlane plane, int balancers,
-            List<String> zones, String list, int node, String group) throws IOException {
+    static RealSidecar start(String name, ServeCommand command, Path scratch, ControlPlane plane,
+            int balancers, List<String> zones, String list, int node, String group) throws IOException {
         InetSocketAddress listen = SidecarHost.freePort();
         Path folder = Files.createDirectories(scratch.resolve(name));
         Path file = plane.file(new ControlPlane.Place(folder, name, listen, balancers, zones), list, node,
             group);
         Path log = folder.resolve("log");
-        List<String> command = new ArrayList<>(program.command());
-        if (file.toString().endsWith(".toml")) {
-            command.addAll(List.of("--config", file.toString()));
-        }
-        ProcessBuilder builder = new ProcessBuilder(command)
-            .directory(program.folder().toFile())
+        ProcessBuilder builder = (file.toString().endsWith(".toml")
+            ? command.builder("--config", file.toString()) : command.builder())
             .redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("GW_CONFIG", file.toString());
         builder.environment().put("TMPDIR", folder.toString());
@@ -67,7 +62,8 @@
     @Override
     public double cpuMs() {
         try {
-            return cost.cpuMs();
+            usage = ProcessUsage.of(child.process().pid()).remembering(usage);
+            return usage.processMs();
         } catch (IOException e) {
             return Double.NaN;
         }
@@ -75,11 +71,11 @@
 
     @Override
     public double residentMb() throws IOException {
-        return cost.residentMb();
+        return ProcessUsage.residentMb(child.process().pid());
     }
 
     double proportionalMb() throws IOException {
-        return cost.proportionalMb();
+        return ProcessUsage.proportionalMb(child.process().pid());
     }
 
     @Override
--- a/lab/src/test/java/lemonrail/lab/host/PlayTest.java
+++ b/lab/src/test/java/lemonrail/lab/host/PlayTest.java
@@ -22,9 +22,9 @@
 import lemonrail.lab.decider.Deciders;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.model.Fault;
-import lemonrail.lab.report.Judge;
 import lemonrail.lab.report.Report;
 import lemonrail.lab.report.RunFolder;
+import lemonrail.lab.report.Scorer;
 import lemonrail.lab.report.Verdict;
 import lemonrail.lab.scenario.Scenario;
 import lemonrail.lab.scenario.ScenarioFile;
@@ -85,8 +85,9 @@
 
     private Played play(Scenario scenario, Decider decider) throws IOException, InterruptedException {
         Scenario.Variant variant = new Scenario.Variant("it", decider, Map.of(), null);
-        try (World world = new World(scenario, variant, 7, new World.Builds(null), folder.resolve("run"))) {
-            return world.play(asks -> { });
+        try (Testbed testbed = new Testbed(scenario, variant, 7, new Testbed.Builds(null),
+                folder.resolve("run"))) {
+            return testbed.play(asks -> { });
         }
     }
 
@@ -101,7 +102,7 @@
         assertEquals(List.of(), played.broken());
         assertTrue(played.asks().size() > 80);
         assertAllAnswered(played);
-        assertTrue(played.witness().attempts().size() >= count(played, Ask.End.SERVED));
+        assertTrue(played.recorder().attempts().size() >= count(played, Ask.End.SERVED));
     }
 
     /** Served, but for a few that an edge which has just started may refuse. */
@@ -148,13 +149,13 @@
         assertTrue(count(played, Ask.End.SERVED) >= asked * 0.7);
         for (int tier = 0; tier < 3; tier++) {
             int place = tier;
-            List<Witness.Attempt> attempts = played.witness().attempts().stream()
+            List<AttemptRecorder.Attempt> attempts = played.recorder().attempts().stream()
                 .filter(attempt -> attempt.tier() == place).toList();
             assertTrue(attempts.size() >= count(played, Ask.End.SERVED) * (tier == 0 ? 1 : 2));
             assertTrue(attempts.stream().allMatch(attempt -> attempt.parent() == null == (place == 0)));
         }
-        assertTrue(played.witness().attempts().stream().filter(attempt -> attempt.tier() == 2)
-            .map(attempt -> played.witness().sidecar(attempt.request()))
+        assertTrue(played.recorder().attempts().stream().filter(attempt -> attempt.tier() == 2)
+            .map(attempt -> played.recorder().sidecar(attempt.request()))
             .allMatch(sidecar -> sidecar.startsWith("sidecar-3-")));
     }
 
@@ -248,7 +249,7 @@
         Played played = play(scenario("[[faults]]\nkind = \"hang\"\nbegin = \"600ms\"\nlength = \"1h\"\n"
             + "share = 1.0\n", ""), PlayTest::reckless);
         Map<String, Integer> attempts = new HashMap<>();
-        played.witness().attempts().forEach(each -> attempts.merge(each.request(), 1, Integer::sum));
+        played.recorder().attempts().forEach(each -> attempts.merge(each.request(), 1, Integer::sum));
         assertEquals(4, attempts.values().stream().mapToInt(count -> count).max().orElse(0));
     }
 
@@ -290,7 +291,7 @@
             """), Deciders.BOXCAR);
         assertEquals(List.of(), played.broken());
         assertAllAnswered(played);
-        assertTrue(Judge.judge(played).p50Ms() >= 30, "twice 10 and twice 5 ms at least");
+        assertTrue(Scorer.score(played).p50Ms() >= 30, "twice 10 and twice 5 ms at least");
     }
 
     @Test
@@ -298,8 +299,9 @@
         Scenario scenario = scenario("", "");
         Scenario.Variant variant = scenario.variants().get(0);
         Thread player = Thread.currentThread();
-        try (World world = new World(scenario, variant, 1, new World.Builds(null), folder.resolve("run"))) {
-            Played played = world.play(asks -> {
+        try (Testbed testbed = new Testbed(scenario, variant, 1, new Testbed.Builds(null),
+                folder.resolve("run"))) {
+            Played played = testbed.play(asks -> {
                 if (asks.get().size() > 30) {
                     player.interrupt();
                 }
@@ -314,7 +316,7 @@
     @Test
     void aRunIsKeptAndItsReportIsMadeFromTheRawData() throws Exception {
         Played played = play(scenario("", ""), Deciders.BOXCAR);
-        Verdict verdict = Judge.judge(played);
+        Verdict verdict = Scorer.score(played);
         assertTrue(verdict.whole() > 0.8 && verdict.whole() <= 1);
         assertEquals(0, verdict.waste(), 1e-9);
         RunFolder kept = new RunFolder(folder.resolve("kept"));
