--- a/edge/src/main/java/lemonrail/exchange/Exchange.java
+++ b/edge/src/main/java/lemonrail/exchange/Exchange.java
@@ -45,11 +45,6 @@
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
-    /** The client's time that an answer's way to it may take: this part of it, and no less than that. */
-    private static final double WAY_SHARE = 0.01;
-    private static final double LEAST_WAY_MS = 2;
-    /** The part of a client's time that the way and this process's own lateness may cost at most. */
-    private static final double MOST_ALLOWANCE_SHARE = 0.25;
     /** A large body of which an endpoint takes nothing for so long is given up. */
     private static final int UPLOAD_STALL_MS = 4000;
     /** The same for a large answer of which an endpoint sends or a client takes nothing. */
@@ -64,65 +59,7 @@
         void tell(double now);
     }
 
-    private record Queued<M extends Message, A>(Open<M, A> open, Event event) {
-    }
-
-    private static final class Open<M extends Message, A> {
-        final Request request;
-        final M message;
-        final Client<A> client;
-        final List<Try> tries = new ArrayList<>(2);
-        /** What the client waits, from when its request is read. */
-        final double waitMs;
-        /** The longest that the request can have waited to be read. */
-        final double unreadMs;
-        /** When the client stops waiting. */
-        double deadline;
-        Future<?> overdue;
-        boolean concluded;
-        /** The module has failed over it: nothing is to be hoped for from it any more. */
-        boolean disowned;
-        /** The attempt whose large answer is being passed on. */
-        Try stream;
-        /** When endpoints may have forgotten its key. */
-        double windowEnds = Double.POSITIVE_INFINITY;
-        /** Attempts whose end the module has not been told yet. */
-        int out;
-
-        Open(double now, double unreadMs, Request request, M message, Client<A> client) {
-            this.unreadMs = unreadMs;
-            waitMs = request.deadlineMs() - now;
-            deadline = request.deadlineMs();
-            this.request = request;
-            this.message = message;
-            this.client = client;
-        }
-    }
-
-    /** One attempt of a request. */
-    private static final class Try {
-        final int number;
-        final String server;
-        /** When the endpoint could begin: the time that a large body takes is none of the endpoint's. */
-        double sentAt;
-        /** How long it took from there until the request was written whole; negative before. */
-        double connectMs = -1;
-        /** How long it took until a large answer's first bytes; what its client then takes is no measure. */
-        double firstBytesMs = -1;
-        Upstream.Attempt attempt;
-        Future<?> timeout;
-        boolean ended;
-        /** Not to be begun any more from then on, as its endpoint leaves. */
-        double beginsBefore = Double.POSITIVE_INFINITY;
-        /** The same, as endpoints drop a key's repeat for so long only. */
-        final double windowEnds;
-
-        Try(int number, String server, double sentAt, double windowEnds) {
-            this.windowEnds = windowEnds;
-            this.number = number;
-            this.server = server;
-            this.sentAt = sentAt;
-        }
+    private record Queued<M extends Message, A>(PendingRequest<M, A> open, Event event) {
     }
 
     private final EventLoop loop;
@@ -136,7 +73,7 @@
     private Settings settings;
     private final Events module;
     private final Suspensions suspensions;
-    private final Map<String, Open<M, A>> table = new HashMap<>();
+    private final Map<String, PendingRequest<M, A>> table = new HashMap<>();
     /** Events wait here while the module is at work: it is never called from within its own call. */
     private final Deque<Queued<M, A>> events = new ArrayDeque<>();
     private boolean telling;
@@ -199,11 +136,12 @@
 
     /** A client has sent a request; it hears of the one final answer. */
     public void request(Request request, M message, Client<A> client) {
-        Open<M, A> open = new Open<>(clock.now(), clock.waitedMs(), request, message, client);
+        PendingRequest<M, A> open =
+            new PendingRequest<>(clock.now(), clock.waitedMs(), request, message, client);
         table.put(request.id(), open);
         budget.take(message.heldBytes());
         if (!message.isComing()) {
-            awaitOverdue(open);
+            scheduleOverdue(open);
         }
         Request told = new Request(request.id(), request.requestClass(), request.tenant(), answerBy(open),
             request.resent());
@@ -215,50 +153,49 @@
      * the way, and for as late as the event loop has been of late: an attempt given up at the client's very
      * deadline is always answered after it.
      */
-    private double answerBy(Open<M, A> open) {
+    private double answerBy(PendingRequest<M, A> open) {
         return open.deadline - allowanceMs(open);
     }
 
-    private double allowanceMs(Open<M, A> open) {
-        double wayMs = Math.max(LEAST_WAY_MS, WAY_SHARE * open.waitMs);
-        return Math.min(wayMs + clock.lag().recentMs(), MOST_ALLOWANCE_SHARE * Math.max(0, open.waitMs));
+    private double allowanceMs(PendingRequest<M, A> open) {
+        return ReplyAllowance.ms(open.waitMs, clock.lag().recentMs());
     }
 
     /** The rest of a large body has come: the request's time counts from here. */
     public void bodyWhole(String id) {
-        Open<M, A> open = table.get(id);
+        PendingRequest<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             open.deadline = clock.now() - clock.waitedMs() + open.waitMs;
-            awaitOverdue(open);
+            scheduleOverdue(open);
         }
     }
 
-    private void awaitOverdue(Open<M, A> open) {
+    private void scheduleOverdue(PendingRequest<M, A> open) {
         open.overdue = after(answerBy(open) - clock.now() + OVERDUE_MS, () -> overdue(open));
     }
 
     /** The client's connection has ended before its answer. */
     public void clientGone(String id) {
-        Open<M, A> open = table.get(id);
+        PendingRequest<M, A> open = table.get(id);
         if (open != null && open.stream != null) {
             giveUp(open, open.stream, Outcome.CANCELED);
         } else if (open != null && !open.concluded) {
             conclude(open, "client_gone");
             raise(open, now -> module.onClientGone(now, id));
-            dropUnwritten(open);
+            cancelUnwrittenAttempts(open);
         }
     }
 
     /** Nobody waits any more: what has not run is not begun, even where nothing may be called off. */
-    private void dropUnwritten(Open<M, A> open) {
-        for (Try made : List.copyOf(open.tries)) {
+    private void cancelUnwrittenAttempts(PendingRequest<M, A> open) {
+        for (PendingAttempt made : List.copyOf(open.attempts)) {
             if (!made.ended && !made.attempt.mayHaveRun()) {
                 giveUp(open, made, Outcome.CANCELED);
             }
         }
     }
 
-    private void overdue(Open<M, A> open) {
+    private void overdue(PendingRequest<M, A> open) {
         if (!open.concluded) {
             log.trouble("no_decision", "no decision by the deadline", open.request.id(),
                 "request_id", open.request.id());
@@ -267,11 +204,11 @@
     }
 
     /** Fails a request without the module, and lets the module know that it owes nothing any more. */
-    private void abandon(Open<M, A> open) {
+    private void abandon(PendingRequest<M, A> open) {
         conclude(open, "abandoned");
         open.client.failed();
         raise(open, now -> module.onClientGone(now, open.request.id()));
-        dropUnwritten(open);
+        cancelUnwrittenAttempts(open);
     }
 
     /**
@@ -279,7 +216,7 @@
      * is still being passed on is cut where its client can tell, not where the process happens to end.
      */
     public void end() {
-        for (Open<M, A> open : List.copyOf(table.values())) {
+        for (PendingRequest<M, A> open : List.copyOf(table.values())) {
             if (open.stream != null) {
                 giveUp(open, open.stream, Outcome.CANCELED);
             } else if (!open.concluded) {
@@ -297,17 +234,17 @@
         listed |= !list.entries().isEmpty();
         endpoints.update(list);
         List<Server> shown = suspensions.show(kind, list.servers());
-        mindLeaving(kind, shown);
+        limitAttemptsAtLeavingEndpoints(kind, shown);
         raise(null, now -> module.onServers(now, kind, shown));
     }
 
     /** Attempts that still wait for a connection to an endpoint that leaves have only so long to begin. */
-    private void mindLeaving(ListKind kind, List<Server> shown) {
+    private void limitAttemptsAtLeavingEndpoints(ListKind kind, List<Server> shown) {
         Map<String, State> told = new HashMap<>();
         shown.forEach(server -> told.put(server.id(), server.state()));
         double before = clock.now() + DRAIN_SHARE * settings.rules().drainGraceMs();
-        for (Open<M, A> open : table.values()) {
-            for (Try made : open.tries) {
+        for (PendingRequest<M, A> open : table.values()) {
+            for (PendingAttempt made : open.attempts) {
                 State state = told.getOrDefault(made.server, kind == ListKind.DELTA ? null : State.GONE);
                 if (state == State.READY) {
                     made.beginsBefore = Double.POSITIVE_INFINITY;
@@ -322,7 +259,7 @@
     public void retell(Collection<String> ids) {
         List<Server> shown = suspensions.shown(ids);
         if (!shown.isEmpty()) {
-            mindLeaving(ListKind.DELTA, shown);
+            limitAttemptsAtLeavingEndpoints(ListKind.DELTA, shown);
             raise(null, now -> module.onServers(now, ListKind.DELTA, shown));
         }
     }
@@ -332,7 +269,7 @@
         return module.avoided(clock.now());
     }
 
-    private void raise(Open<M, A> open, Event event) {
+    private void raise(PendingRequest<M, A> open, Event event) {
         events.add(new Queued<>(open, event));
         if (telling) {
             return;
@@ -347,16 +284,16 @@
         }
     }
 
-    private void tell(Open<M, A> open, Event event) {
+    private void tell(PendingRequest<M, A> open, Event event) {
         try {
             event.tell(clock.now());
         } catch (RuntimeException e) {
             log.bug("the decision module failed", e);
             if (open != null) {
-                open.disowned = true;
+                open.moduleFailed = true;
             }
         }
-        if (open != null && open.disowned && !open.concluded && open.out == 0) {
+        if (open != null && open.moduleFailed && !open.concluded && open.out == 0) {
             abandon(open);
         }
         if (open != null && open.concluded && open.out == 0) {
@@ -370,18 +307,20 @@
 
     @Override
     public void send(String id, String server, double timeoutMs) {
-        Open<M, A> open = table.get(id);
+        PendingRequest<M, A> open = table.get(id);
         if (open == null) {
             log.trouble("attempt_unknown", "an attempt for a request that is not open", id, "request_id", id);
             return;
         }
         double now = clock.now();
-        Try made = new Try(open.tries.size(), server, now, windowEnds(open, now));
-        open.tries.add(made);
+        PendingAttempt made =
+            new PendingAttempt(open.attempts.size(), server, now, repeatWindowEnds(open, now));
+        open.attempts.add(made);
         open.out++;
-        double left = open.message.isComing() ? open.waitMs - allowanceMs(open) : answerBy(open) - now;
+        double left = open.message.isComing()
+            ? open.waitMs - allowanceMs(open) : answerBy(open) - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
-        if (open.concluded || left <= 0 || open.tries.size() > settings.limits().tries()) {
+        if (open.concluded || left <= 0 || open.attempts.size() > settings.limits().tries()) {
             end(open, made, Outcome.IGNORED);
         } else if (wait <= 0) {
             end(open, made, Outcome.TIMED_OUT);
@@ -389,7 +328,7 @@
             if (open.message.rest() == null) {
                 made.timeout = after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
             } else {
-                made.timeout = after(UPLOAD_STALL_MS, () -> mindUpload(open, made, 0));
+                made.timeout = after(UPLOAD_STALL_MS, () -> checkUploadProgress(open, made, 0));
             }
             try {
                 made.attempt = endpoints.send(server, open.message, wait,
@@ -403,9 +342,9 @@
     }
 
     /** Until when a repeat of a keyed request may be begun; the window counts from the first attempt. */
-    private double windowEnds(Open<M, A> open, double now) {
+    private double repeatWindowEnds(PendingRequest<M, A> open, double now) {
         RequestClass kind = settings.classes().get(open.request.requestClass());
-        if (kind.effect() == Effect.BY_KEY && open.tries.isEmpty()) {
+        if (kind.effect() == Effect.BY_KEY && open.attempts.isEmpty()) {
             open.windowEnds = now + kind.windowMs() * WINDOW_SHARE;
             return Double.POSITIVE_INFINITY;
         }
@@ -413,7 +352,7 @@
     }
 
     /** Passes an answer on where it is the last word on its request. */
-    private void pass(Open<M, A> open, Outcome outcome, A answer) {
+    private void pass(PendingRequest<M, A> open, Outcome outcome, A answer) {
         if (outcome == Outcome.OK) {
             conclude(open, "served");
             open.client.served(answer);
@@ -425,11 +364,11 @@
 
     /** What one attempt leads to. */
     private final class AttemptEnding implements Upstream.Ending<A> {
-        private final Open<M, A> open;
-        private final Try made;
+        private final PendingRequest<M, A> open;
+        private final PendingAttempt made;
         private final double waitMs;
 
-        AttemptEnding(Open<M, A> open, Try made, double waitMs) {
+        AttemptEnding(PendingRequest<M, A> open, PendingAttempt made, double waitMs) {
             this.open = open;
             this.made = made;
             this.waitMs = waitMs;
@@ -463,7 +402,7 @@
             }
             conclude(open, "streaming");
             open.stream = made;
-            made.timeout = after(ANSWER_STALL_MS, () -> mindStream(open, made, body, 0));
+            made.timeout = after(ANSWER_STALL_MS, () -> checkAnswerProgress(open, made, body, 0));
             raise(open, now -> module.onStreamStarted(now, open.request.id(), made.number));
             open.client.streaming(beginning, body);
         }
@@ -481,28 +420,29 @@
     }
 
     /** Gives up an endpoint that takes nothing of a large body, though there is more of it to take. */
-    private void mindUpload(Open<M, A> open, Try made, long passedBefore) {
+    private void checkUploadProgress(PendingRequest<M, A> open, PendingAttempt made, long passedBefore) {
         Pipe rest = open.message.rest();
         if (rest.passed() == passedBefore && !rest.isDrained()) {
             giveUp(open, made, Outcome.TIMED_OUT);
         } else {
             long passed = rest.passed();
-            made.timeout = after(UPLOAD_STALL_MS, () -> mindUpload(open, made, passed));
+            made.timeout = after(UPLOAD_STALL_MS, () -> checkUploadProgress(open, made, passed));
         }
     }
 
     /** Gives up a large answer of which nothing moves: it is the endpoint's fault, or the client's. */
-    private void mindStream(Open<M, A> open, Try made, Pipe body, long passedBefore) {
+    private void checkAnswerProgress(PendingRequest<M, A> open, PendingAttempt made, Pipe body,
+            long passedBefore) {
         if (body.passed() == passedBefore) {
             giveUp(open, made, body.isDrained() ? Outcome.TIMED_OUT : Outcome.CANCELED);
         } else {
             long passed = body.passed();
-            made.timeout = after(ANSWER_STALL_MS, () -> mindStream(open, made, body, passed));
+            made.timeout = after(ANSWER_STALL_MS, () -> checkAnswerProgress(open, made, body, passed));
         }
     }
 
     /** Stops waiting for an attempt. One that was not written whole is known not to have run. */
-    private void giveUp(Open<M, A> open, Try made, Outcome outcome) {
+    private void giveUp(PendingRequest<M, A> open, PendingAttempt made, Outcome outcome) {
         if (!made.ended) {
             // What this cuts of an answer leads back here by way of its client.
             open.stream = open.stream == made ? null : open.stream;
@@ -511,7 +451,7 @@
         }
     }
 
-    private void end(Open<M, A> open, Try made, Outcome outcome) {
+    private void end(PendingRequest<M, A> open, PendingAttempt made, Outcome outcome) {
         if (made.ended) {
             return;
         }
@@ -536,7 +476,7 @@
     }
 
     /** Tells of a request, of which there are many. */
-    private void tell(String event, Open<M, A> open, Object... fields) {
+    private void tell(String event, PendingRequest<M, A> open, Object... fields) {
         List<Object> all = new ArrayList<>(List.of("request_id", open.request.id(), "class",
             settings.classes().get(open.request.requestClass()).name()));
         all.addAll(List.of(fields));
@@ -547,14 +487,14 @@
         log.debug(event, line.toString(), all.toArray());
     }
 
-    private void conclude(Open<M, A> open, String how) {
+    private void conclude(PendingRequest<M, A> open, String how) {
         open.concluded = true;
         if (log.tellsAll()) {
-            tell("request_concluded", open, "outcome", how, "attempts", open.tries.size(), "took_ms",
+            tell("request_concluded", open, "outcome", how, "attempts", open.attempts.size(), "took_ms",
                 clock.now() - open.deadline + open.waitMs);
         }
         if (clock.now() > open.deadline) {
-            tellLate(open, how);
+            reportLateAnswer(open, how);
         }
         if (open.overdue != null) {
             open.overdue.cancel(false);
@@ -567,13 +507,13 @@
     }
 
     /** Tells operators where the time went of a request that is answered too late. */
-    private void tellLate(Open<M, A> open, String how) {
+    private void reportLateAnswer(PendingRequest<M, A> open, String how) {
         metrics.answeredLate();
         double lateMs = clock.now() - open.deadline;
-        Try last = open.tries.isEmpty() ? null : open.tries.get(open.tries.size() - 1);
+        PendingAttempt last = open.attempts.isEmpty() ? null : open.attempts.get(open.attempts.size() - 1);
         log.trouble("late_answer", "an answer came after its client's time", open.request.id(),
             "request_id", open.request.id(), "outcome", how, "late_ms", lateMs, "wait_ms", open.waitMs,
-            "unread_ms", open.unreadMs, "attempts", open.tries.size(),
+            "unread_ms", open.unreadMs, "attempts", open.attempts.size(),
             "last_endpoint", last == null ? "none" : last.server,
             "last_sent_ms", last == null ? -1 : last.sentAt - open.deadline + open.waitMs,
             "last_connect_ms", last == null ? -1 : last.connectMs, "loop_late_ms", clock.lag().recentMs());
@@ -581,7 +521,7 @@
 
     @Override
     public void refuse(String id, double coolDownMs) {
-        Open<M, A> open = table.get(id);
+        PendingRequest<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open, "refused");
             open.client.refused(coolDownMs);
@@ -590,7 +530,7 @@
 
     @Override
     public void fail(String id) {
-        Open<M, A> open = table.get(id);
+        PendingRequest<M, A> open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open, "failed");
             open.client.failed();
@@ -599,9 +539,9 @@
 
     @Override
     public void cancel(String id, int attempt) {
-        Open<M, A> open = table.get(id);
-        if (open != null && attempt < open.tries.size()) {
-            giveUp(open, open.tries.get(attempt), Outcome.CANCELED);
+        PendingRequest<M, A> open = table.get(id);
+        if (open != null && attempt < open.attempts.size()) {
+            giveUp(open, open.attempts.get(attempt), Outcome.CANCELED);
         }
     }
 
