--- a/core/src/main/java/lemonrail/core/DialChance.java
+++ b/core/src/main/java/lemonrail/core/DialChance.java
@@ -1,8 +1,8 @@
 package lemonrail.core;
 
 /**
- * How often connections do not come up though their server is well. A failure counts only once a connection to
- * the same server has come up after it: so servers that are dead do not make it look as if that were chance.
+ * How often connections do not come up though their server is well. A failure counts only once a connection
+ * to the same server has come up after it: so servers that are dead do not make it look as if it were chance.
  */
 public final class DialChance {
 
--- a/core/src/main/java/lemonrail/core/TroubleReport.java
+++ b/core/src/main/java/lemonrail/core/TroubleReport.java
@@ -1,5 +1,7 @@
 package lemonrail.core;
 
+import java.util.function.Consumer;
+
 /** Counts what operators should hear of, and makes one line of it at most once in a while. */
 public final class TroubleReport {
 
@@ -25,19 +27,19 @@
         ejections++;
     }
 
-    /** The line that is due now, with how things stand, or null if none is or there is nothing to tell. */
-    public String due(double now, int tier, double limit, int ailing, int ready) {
+    /** Tells the line that is due now, with how things stand, if one is and there is anything to tell. */
+    public void tell(double now, int tier, double limit, int ailing, int ready, Consumer<String> operators) {
         if (now < next) {
-            return null;
+            return;
         }
         next = now + EVERY_MS;
-        String line = turnedAway + fullServers + ejections == 0 ? null
-            : "tier " + tier + ": " + turnedAway + " calls turned away at a limit of " + Math.round(limit)
-                + " at once, " + fullServers + " attempts met a full server, " + ejections
-                + " times a server was put on trial; " + ailing + " of " + ready + " on trial now";
+        if (turnedAway + fullServers + ejections > 0) {
+            operators.accept("tier " + tier + ": " + turnedAway + " calls turned away at a limit of "
+                + Math.round(limit) + " at once, " + fullServers + " attempts met a full server, " + ejections
+                + " times a server was put on trial; " + ailing + " of " + ready + " on trial now");
+        }
         turnedAway = 0;
         fullServers = 0;
         ejections = 0;
-        return line;
     }
 }
--- a/core/src/main/java/lemonrail/core/policy/Decide.java
+++ b/core/src/main/java/lemonrail/core/policy/Decide.java
@@ -268,10 +268,7 @@
         nextRefill = now + pauseMs;
         settle(now);
         locality.tick(now, pauseMs);
-        String line = report.due(now, settings.tier(), limit.limit, health.ailing, ranks.ready);
-        if (line != null) {
-            host.log(line);
-        }
+        report.tell(now, settings.tier(), limit.limit, health.ailing, ranks.ready, host::log);
         health.tick(now);
         cold.tick(now, target -> pool.reprice(now, target, false));
         limit.resize(cold.able(now));
