Edge: OperatorsDoor is AdminServer

It serves the admin API, which is the field's term; tests are renamed with it. What operators type and read stays.

--- a/edge/src/main/java/lemonrail/admin/OperatorsDoor.java
+++ b/edge/src/main/java/lemonrail/admin/AdminServer.java
@@ -27,10 +27,10 @@
 import lemonrail.net.HttpListener;
 
 /**
- * The listener for operators: one call a connection. Its connections are few and each has little time, so
+ * Serves the admin API: one call a connection. Its connections are few and each has little time, so
  * that callers who say nothing take no room from those who do.
  */
-public final class OperatorsDoor {
+public final class AdminServer {
 
     /** Connections open at once; beyond them the oldest without a whole call goes. */
     public static final int MOST_CONNECTIONS = 16;
@@ -55,14 +55,14 @@
     private final Set<Connection> answered = new LinkedHashSet<>();
     private Channel listener;
 
-    /** A door on this loop; what goes wrong in it is told to {@code bugs}. */
-    public OperatorsDoor(EventLoop loop, ByteBufAllocator buffers, Operations operations,
+    /** A server of an edge on this loop; what goes wrong in it is told to {@code bugs}. */
+    public AdminServer(EventLoop loop, ByteBufAllocator buffers, Operations operations,
             BiConsumer<String, Throwable> bugs) {
         this(loop, buffers, calls(new Router(operations)), MOST_BODY_BYTES, bugs);
     }
 
-    /** A door to other calls, whose bodies may have so many bytes. */
-    public OperatorsDoor(EventLoop loop, ByteBufAllocator buffers, Calls calls, int mostBodyBytes,
+    /** A server of other calls, whose bodies may have so many bytes. */
+    public AdminServer(EventLoop loop, ByteBufAllocator buffers, Calls calls, int mostBodyBytes,
             BiConsumer<String, Throwable> bugs) {
         this.loop = loop;
         this.buffers = buffers;
@@ -75,7 +75,7 @@
         return (method, uri, body) -> router.route(method, uri);
     }
 
-    /** Opens the door. */
+    /** Listens. */
     public ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new HttpListener(BACKLOG, MOST_LINE_BYTES, MOST_HEAD_BYTES, MOST_CHUNK_BYTES,
             mostBodyBytes).bind(loop, buffers, address, Connection::new);
--- a/edge/src/main/java/lemonrail/admin/Answer.java
+++ b/edge/src/main/java/lemonrail/admin/Answer.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /**
- * An answer of the door.
+ * An answer of the admin API.
  *
  * @param text ends with a line break
  * @param allowed the only method of this path, where another was used; else null
--- a/edge/src/main/java/lemonrail/admin/Calls.java
+++ b/edge/src/main/java/lemonrail/admin/Calls.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 
-/** What the door's calls do. */
+/** What the calls of an admin API do. */
 public interface Calls {
 
     /** Carries a call out. */
--- a/edge/src/main/java/lemonrail/admin/Operations.java
+++ b/edge/src/main/java/lemonrail/admin/Operations.java
@@ -2,7 +2,7 @@
 
 import lemonrail.logging.Severity;
 
-/** What the operators' door can have done, on the event loop; whoever owns the state carries it out. */
+/** What the admin API can have done, on the event loop; whoever owns the state carries it out. */
 public interface Operations {
 
     /** What came of a call. */
--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -18,8 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import lemonrail.admin.AdminServer;
 import lemonrail.admin.Operations;
-import lemonrail.admin.OperatorsDoor;
 import lemonrail.config.ConfigSource;
 import lemonrail.config.EdgeConfig;
 import lemonrail.config.Loaded;
@@ -93,7 +93,7 @@
     private EventLog log;
     private Suspensions suspensions;
     private Presence presence;
-    private OperatorsDoor door;
+    private AdminServer adminServer;
     private Listeners listeners;
     private DiscoveryClient discovery;
     private ControlClient control;
@@ -137,7 +137,7 @@
     }
 
     /**
-     * Opens the operators' door, warms up, and then listens for clients. Until then a client's connect is
+     * Opens the admin API, warms up, and then listens for clients. Until then a client's connect is
      * refused at once, and it goes elsewhere: what came earlier would wait in the listener's queue for a loop
      * that the start keeps busy, and be answered late or never where the processor is short.
      */
@@ -145,7 +145,7 @@
         long began = System.nanoTime();
         try {
             if (config.admin() != null) {
-                awaitBound("the operators' door", config.admin(), door.listen(config.admin()));
+                awaitBound("the operators' door", config.admin(), adminServer.listen(config.admin()));
             }
             CountDownLatch warm = new CountDownLatch(1);
             loop.execute(() -> protocol.warmUp(shard,
@@ -190,7 +190,7 @@
         suspensions = new Suspensions(config.kept("suspended"), log);
         presence = new Presence(config.kept("processes"), log);
         ownFiles = openFiles() + SPARE_SOCKETS
-            + (config.admin() == null ? 0 : OperatorsDoor.MOST_CONNECTIONS);
+            + (config.admin() == null ? 0 : AdminServer.MOST_CONNECTIONS);
         sharesLimits = presence.hasOther();
         int half = half();
         double bodiesMb = Math.min(MOST_BODIES_MB, config.memoryMb() / BODIES_SHARE);
@@ -210,7 +210,7 @@
             control.listen(exchange);
             control.takeSettings(this::takeSettings);
         }
-        door = new OperatorsDoor(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
+        adminServer = new AdminServer(loop, Sockets.BUFFERS, new Controls(), log.in("admin")::bug);
         metrics.gauge("log_dropped", sink::dropped);
         metrics.gauge("log_suppressed", log::suppressed);
         metrics.gauge("targets", suspensions::listed);
@@ -466,8 +466,8 @@
     }
 
     /** Where operators call. */
-    InetSocketAddress doorAddress() {
-        return door.address();
+    InetSocketAddress adminAddress() {
+        return adminServer.address();
     }
 
     /** Ends everything at once, as a kill does; what is in hand gets no answer. */
--- a/edge/src/main/java/lemonrail/config/ControlConfig.java
+++ b/edge/src/main/java/lemonrail/config/ControlConfig.java
@@ -11,7 +11,7 @@
  * @param name the node's, one of a kind among all nodes of both regions
  * @param region the one that it is in
  * @param address where sidecars and other nodes watch
- * @param admin where operators call, or null where they have no door
+ * @param admin where operators call, or null where there is no admin API
  * @param peers the other nodes
  * @param mostWatchers sidecars that may watch at once
  * @param answerGapMs one watcher gets at most one answer in this time while changes pour
@@ -28,7 +28,7 @@
     public record Peer(String name, InetSocketAddress address, String region) {
     }
 
-    /** A node without peers, a door or a file, as tests and trials have it; others can be added. */
+    /** A node without peers, an admin API or a file, as tests and trials have it; others can be added. */
     public static ControlConfig of(String name, String region, InetSocketAddress address) {
         return new ControlConfig(name, region, address, null, List.of(), MOST_WATCHERS, ANSWER_GAP_MS, null,
             LogSettings.USUAL);
--- a/edge/src/main/java/lemonrail/config/ControlFile.java
+++ b/edge/src/main/java/lemonrail/config/ControlFile.java
@@ -15,7 +15,7 @@
 public record ControlFile(Path file, Map<String, String> environment) {
 
     private static final List<Table> TABLES =
-        List.of(Schema.CONTROL, Schema.PEERS, Schema.DOOR, Schema.LOGGING);
+        List.of(Schema.CONTROL, Schema.PEERS, Schema.ADMIN_TABLE, Schema.LOGGING);
 
     /** A control node's configuration, and each value with its origin. */
     public record Read(ControlConfig config, List<Loaded.Value> values) {
@@ -49,10 +49,10 @@
         Integer watchers = control.get(Schema.WATCHERS);
         Double gapMs = control.get(Schema.ANSWER_GAP);
         List<Peer> peers = peers(document, name);
-        Section door = document.one(Schema.DOOR);
-        InetSocketAddress admin = door.get(Schema.ADMIN);
+        Section adminSection = document.one(Schema.ADMIN_TABLE);
+        InetSocketAddress admin = adminSection.get(Schema.ADMIN);
         if (admin != null && admin.equals(address) && admin.getPort() != 0) {
-            door.contradicts(Schema.ADMIN, "is taken by control.address");
+            adminSection.contradicts(Schema.ADMIN, "is taken by control.address");
         }
         LogSettings logging = TomlReading.logging(document);
         document.check();
--- a/edge/src/main/java/lemonrail/config/EdgeConfig.java
+++ b/edge/src/main/java/lemonrail/config/EdgeConfig.java
@@ -14,7 +14,7 @@
  *
  * @param name the edge's name, the same after a restart
  * @param listeners where clients connect
- * @param admin where operators call, or null where they have no door
+ * @param admin where operators call, or null where there is no admin API
  * @param discovery where the list of endpoints is watched, or null where it is fixed
  * @param discoveryWaitMs how long a call there waits for news, or null where the fleet's size says so
  * @param folder where what outlives the process is kept
--- a/edge/src/main/java/lemonrail/config/PlatformFile.java
+++ b/edge/src/main/java/lemonrail/config/PlatformFile.java
@@ -17,7 +17,7 @@
 /** The platform's JSON, as GW_CONFIG names it; the variables GW_MGMT and TMPDIR add to it. */
 public record PlatformFile(Path file, Map<String, String> environment) implements ConfigSource {
 
-    private static final String DOOR_VARIABLE = "GW_MGMT";
+    private static final String ADMIN_VARIABLE = "GW_MGMT";
     private static final String FOLDER_VARIABLE = "TMPDIR";
     private static final String WAIT_VARIABLE = "LEMONRAIL_DISCOVERY_WAIT";
 
@@ -62,7 +62,7 @@
         ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
         return new EdgeConfig(String.valueOf(config.get("name")),
-            List.of(ServerList.address("listen", config.get("listen"))), door(config.get("mgmt")),
+            List.of(ServerList.address("listen", config.get("listen"))), adminAddress(config.get("mgmt")),
             ServerList.address("discovery", config.get("discovery")), discoveryWaitMs(), folder(environment),
             seed(config.get("seed")), positive("limits.memory_mb", limit(config, "memory_mb")),
             (int) positive("limits.sockets", limit(config, "sockets")),
@@ -75,12 +75,12 @@
         return object("limits", config.get("limits")).get(name);
     }
 
-    private InetSocketAddress door(Object value) {
-        String variable = environment.getOrDefault(DOOR_VARIABLE, "");
+    private InetSocketAddress adminAddress(Object value) {
+        String variable = environment.getOrDefault(ADMIN_VARIABLE, "");
         if (value != null) {
             return ServerList.address("mgmt", value);
         }
-        return variable.isBlank() ? null : ServerList.address(DOOR_VARIABLE, variable);
+        return variable.isBlank() ? null : ServerList.address(ADMIN_VARIABLE, variable);
     }
 
     /** Read like the key of the operators' file, whose reader is loaded only where the variable is set. */
--- a/edge/src/main/java/lemonrail/config/Schema.java
+++ b/edge/src/main/java/lemonrail/config/Schema.java
@@ -156,7 +156,7 @@
     static final Table ROOT = new Table("", 0, "the edge itself", List.of(NAME, STATE_DIR, SEED));
     static final Table LISTENERS = new Table("listeners", 8, "where clients connect; at least one",
         List.of(LISTENER, PROTOCOL));
-    static final Table DOOR = new Table("admin", 0, "the operators' door", List.of(ADMIN));
+    static final Table ADMIN_TABLE = new Table("admin", 0, "the operators' door", List.of(ADMIN));
     static final Table LIST = new Table("discovery", 0, "a list of endpoints that is watched",
         List.of(DISCOVERY, DISCOVERY_WAIT, NODES, FALLBACKS, SERVICES, DOCUMENT));
     static final Table ENDPOINTS = new Table("endpoints", 1024,
@@ -203,8 +203,8 @@
         List.of(CLASS_NAME, ANY_AIM, ANY_DEADLINE, ANY_WORTH, ANY_LATE_WORTH));
     static final Table LIVE_LIMITS = new Table("limits", 0, "limits", List.of(ANY_ATTEMPTS, ANY_RETRY_AFTER));
 
-    static final List<Table> TABLES = List.of(ROOT, LISTENERS, DOOR, LIST, ENDPOINTS, FLEET, CLASSES, TENANTS,
-        LIMITS, BALANCING, COLD_START, DRAIN, LOGGING, CONTROL, PEERS);
+    static final List<Table> TABLES = List.of(ROOT, LISTENERS, ADMIN_TABLE, LIST, ENDPOINTS, FLEET, CLASSES,
+        TENANTS, LIMITS, BALANCING, COLD_START, DRAIN, LOGGING, CONTROL, PEERS);
 
     private Schema() {
     }
--- a/edge/src/main/java/lemonrail/config/TomlReading.java
+++ b/edge/src/main/java/lemonrail/config/TomlReading.java
@@ -148,7 +148,7 @@
     }
 
     private InetSocketAddress admin() {
-        Section section = document.one(Schema.DOOR);
+        Section section = document.one(Schema.ADMIN_TABLE);
         InetSocketAddress address = section.get(Schema.ADMIN);
         takeAddress(section, Schema.ADMIN, address);
         return address;
--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -15,12 +15,12 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import lemonrail.admin.OperatorsDoor;
-import lemonrail.config.ControlConfig;
+import lemonrail.admin.AdminServer;
 import lemonrail.config.ControlConfig.Peer;
-import lemonrail.core.control.ControlState;
+import lemonrail.config.ControlConfig;
 import lemonrail.core.control.ControlState.Bounds;
 import lemonrail.core.control.ControlState.Taken;
+import lemonrail.core.control.ControlState;
 import lemonrail.core.control.InForce;
 import lemonrail.core.control.Item;
 import lemonrail.logging.EventLog;
@@ -55,7 +55,7 @@
     private final String boot;
     private final StateFile file;
     private final WatchServer server;
-    private final OperatorsDoor door;
+    private final AdminServer adminServer;
     private boolean unkept;
     private long keptAt;
     private boolean hasKept;
@@ -78,7 +78,7 @@
         file = config.kept() == null ? null : new StateFile(config.kept());
         server = new WatchServer(loop, clock, log, state, inForce, new Told(), boot, config.mostWatchers(),
             config.answerGapMs());
-        door = new OperatorsDoor(loop, Sockets.BUFFERS, new ControlCalls(this),
+        adminServer = new AdminServer(loop, Sockets.BUFFERS, new ControlCalls(this),
             ControlCalls.MOST_BODY_BYTES, log::bug);
     }
 
@@ -95,7 +95,7 @@
             }
             bound("control.address", config.address(), server.listen(config.address()));
             if (config.admin() != null) {
-                bound("admin.address", config.admin(), door.listen(config.admin()));
+                bound("admin.address", config.admin(), adminServer.listen(config.admin()));
             }
         } catch (IOException | RuntimeException e) {
             stop();
@@ -167,8 +167,8 @@
     }
 
     /** Where operators call. */
-    public InetSocketAddress doorAddress() {
-        return door.address();
+    public InetSocketAddress adminAddress() {
+        return adminServer.address();
     }
 
     /** Its name. */
--- a/edge/src/test/java/lemonrail/assembly/OperatorsDoorTest.java
+++ b/edge/src/test/java/lemonrail/assembly/AdminServerTest.java
@@ -9,16 +9,16 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
-import lemonrail.admin.OperatorsDoor;
+import lemonrail.admin.AdminServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** The operators' door: what it answers, what it refuses, and whom it does not let stand in the way. */
+/** The admin API: what it answers, what it refuses, and whom it does not let stand in the way. */
 @Timeout(60)
-class OperatorsDoorTest {
+class AdminServerTest {
 
     private static final int DEADLINE_MS = 8000;
 
@@ -97,7 +97,7 @@
     void silentCallersDoNotStandInTheWay() throws Exception {
         start(Fake.answering(200, "", "served"));
         List<Wire> silent = new ArrayList<>();
-        for (int i = 0; i < 3 * OperatorsDoor.MOST_CONNECTIONS; i++) {
+        for (int i = 0; i < 3 * AdminServer.MOST_CONNECTIONS; i++) {
             silent.add(rig.operator().send(i % 2 == 0 ? "" : "GET /v1/readyz HTTP/1.1\r\nX: "));
             assertEquals(200, rig.operate("GET", "/v1/readyz").status());
         }
--- a/edge/src/test/java/lemonrail/assembly/ControlledEdgeTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ControlledEdgeTest.java
@@ -90,9 +90,9 @@
         return edge;
     }
 
-    /** A call at a control node's door. */
+    /** A call of the admin API of a control node. */
     private Wire.Message operate(int node, String method, String path, String body) throws IOException {
-        try (Wire wire = Wire.to(nodes.get(node).doorAddress())) {
+        try (Wire wire = Wire.to(nodes.get(node).adminAddress())) {
             return wire.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
                 + "\r\n\r\n" + body).read();
         }
--- a/edge/src/test/java/lemonrail/assembly/DescriptorsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/DescriptorsTest.java
@@ -45,7 +45,7 @@
     private final AtomicInteger asked = new AtomicInteger();
     private Process process;
     private InetSocketAddress address;
-    private InetSocketAddress door;
+    private InetSocketAddress adminApi;
 
     @AfterEach
     void stop() throws Exception {
@@ -70,8 +70,8 @@
     }
 
     private void serve(Fake endpoint, int discoveryPort) throws Exception {
-        int doorPort = freePort();
-        door = new InetSocketAddress("127.0.0.1", doorPort);
+        int adminPort = freePort();
+        adminApi = new InetSocketAddress("127.0.0.1", adminPort);
         String config = """
             {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1f",
             "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
@@ -86,7 +86,7 @@
             "lemonrail.cli.Main", "serve");
         builder.environment().put("GW_CONFIG",
             Files.writeString(folder.resolve("config.json"), config).toString());
-        builder.environment().put("GW_MGMT", "127.0.0.1:" + doorPort);
+        builder.environment().put("GW_MGMT", "127.0.0.1:" + adminPort);
         builder.environment().put("TMPDIR", folder.toString());
         process = builder.redirectErrorStream(true).start();
         CountDownLatch serving = new CountDownLatch(1);
@@ -142,15 +142,15 @@
         }
     }
 
-    private int doorStatus() throws IOException {
-        try (Wire operator = Wire.to(door)) {
+    private int adminStatus() throws IOException {
+        try (Wire operator = Wire.to(adminApi)) {
             return operator.send("GET /v1/metrics HTTP/1.1\r\nHost: n0\r\n\r\n").read().status();
         }
     }
 
     private void assertAllGetTheirs(String served) throws Exception {
         fill();
-        assertEquals(200, doorStatus());
+        assertEquals(200, adminStatus());
         assertEquals(served, ask(), this::logged);
         String[] bodies = new String[CALLS_AT_ONCE];
         Thread[] callers = new Thread[CALLS_AT_ONCE];
--- a/edge/src/test/java/lemonrail/assembly/OwnFileTest.java
+++ b/edge/src/test/java/lemonrail/assembly/OwnFileTest.java
@@ -219,7 +219,7 @@
                 + "\n[limits]\nattempts = 5\n[admin]\naddress = \"127.0.0.1:0\""));
             Rig.await("the old one has noticed",
                 () -> logged().contains("another process of this sidecar runs"));
-            try (Wire wire = Wire.to(edge.doorAddress())) {
+            try (Wire wire = Wire.to(edge.adminAddress())) {
                 wire.send("PUT /v1/endpoints/other/suspend HTTP/1.1\r\nHost: x\r\n\r\n");
                 assertEquals(200, wire.read().status());
             }
@@ -267,7 +267,7 @@
         for (String call : new String[] {"PUT /v1/loggers/lemonrail.exchange/debug=200",
             "PUT /v1/loggers/lemonrail.exchange/loud=404", "PUT /v1/loggers/io.netty/debug=404",
             "POST /v1/loggers/lemonrail/info=405"}) {
-            try (Wire wire = Wire.to(edge.doorAddress())) {
+            try (Wire wire = Wire.to(edge.adminAddress())) {
                 wire.send(call.split("=")[0] + " HTTP/1.1\r\nHost: x\r\n\r\n");
                 assertEquals(Integer.parseInt(call.split("=")[1]), wire.read().status(), call);
             }
--- a/edge/src/test/java/lemonrail/assembly/Rig.java
+++ b/edge/src/test/java/lemonrail/assembly/Rig.java
@@ -119,10 +119,10 @@
     }
 
     Wire operator() throws IOException {
-        return Wire.to(sidecar.doorAddress());
+        return Wire.to(sidecar.adminAddress());
     }
 
-    /** One call at the operators' door. */
+    /** One call of the admin API. */
     Wire.Message operate(String method, String path) throws IOException {
         try (Wire wire = operator()) {
             return wire.send(method + " " + path + " HTTP/1.1\r\nHost: n0\r\n\r\n").read();
