--- a/edge/src/test/java/lemonrail/assembly/LateLoopTest.java
+++ b/edge/src/test/java/lemonrail/assembly/LateLoopTest.java
@@ -99,7 +99,22 @@
         }
     }
 
-    /** Guards against late answers that operators cannot trace: a body that comes on makes one sure. */
+    /** Guards against work for who has gone: what is read after its time is refused and not sent on. */
+    @Test
+    void whatIsReadAfterItsTimeIsRefusedAtOnce() throws Exception {
+        Fake endpoint = Fake.answering(200, "", "ok");
+        try (Rig rig = new Rig(endpoint).start(); Wire wire = rig.client()) {
+            wire.send(rig.request("read", WAIT_MS)).read();
+            CountDownLatch stalled = new CountDownLatch(1);
+            rig.sidecar.loop().execute(stalled::countDown);
+            stall(rig, 2 * WAIT_MS);
+            stalled.await();
+            assertEquals(503, wire.send(rig.request("read", WAIT_MS)).read().status());
+            assertEquals(1, endpoint.requests.size(), "only the first request is sent on");
+        }
+    }
+
+    /** Guards against late answers that operators cannot trace. */
     @Test
     void anAnswerThatIsLateIsCountedAndToldWithWhereItsTimeWent() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
