--- a/lab/src/main/java/lemonrail/lab/host/Testbed.java
+++ b/lab/src/main/java/lemonrail/lab/host/Testbed.java
@@ -1,28 +1,20 @@
 package lemonrail.lab.host;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -35,10 +27,7 @@
 import lemonrail.lab.model.Arrivals;
 import lemonrail.lab.model.Ask;
 import lemonrail.lab.model.Clients;
-import lemonrail.lab.model.Endpoint;
-import lemonrail.lab.model.EndpointShape;
 import lemonrail.lab.model.Fault;
-import lemonrail.lab.model.Rack;
 import lemonrail.lab.model.Registry;
 import lemonrail.lab.scenario.EdgeSettings;
 import lemonrail.lab.scenario.Scenario;
@@ -63,13 +52,6 @@
     public record Builds(Path jar) {
     }
 
-    private static final class Row {
-        private final List<EndpointHost> hosts = new ArrayList<>();
-        private final Map<String, EndpointHost> byId = new HashMap<>();
-        private final Map<EndpointHost, Relay> links = new HashMap<>();
-        private Registry registry;
-    }
-
     private final Scenario scenario;
     private final Scenario.Variant variant;
     private final long seed;
@@ -81,7 +63,8 @@
     private final EventLoop loop = (EventLoop) group.next();
     private final LoopAgenda agenda = new LoopAgenda(loop);
     private final AttemptRecorder recorder;
-    private final List<Row> rows = new ArrayList<>();
+    private final AnswerRules answers;
+    private final List<EndpointTier> tiers = new ArrayList<>();
     private final Map<String, SidecarHost> sidecars = new LinkedHashMap<>();
     private final List<AutoCloseable> parts = new ArrayList<>();
     private final List<ClientPool> pools = new ArrayList<>();
@@ -101,6 +84,8 @@
         this.folder = Files.createDirectories(folder);
         settings = EdgeSettings.load(scenario.edge(), variant.set());
         recorder = new AttemptRecorder(agenda, settings.rules().drainGraceMs(), linkMs());
+        answers = new AnswerRules(agenda, recorder, settings.limits().tries(),
+            scenario.clientLink().isPlain());
         try {
             start();
         } catch (IOException | InterruptedException | RuntimeException e) {
@@ -122,7 +107,7 @@
             pools.add(new ClientPool(loop, at, Math.max(1, scenario.load().connections() / front)));
             names.add(name(0, i));
         }
-        for (int tier = 1; tier < rows.size(); tier++) {
+        for (int tier = 1; tier < tiers.size(); tier++) {
             chain(tier);
         }
         for (SidecarHost sidecar : sidecars.values()) {
@@ -156,53 +141,26 @@
     private void endpoints() {
         boolean relays = FaultPlayer.needLinks(scenario.faults(), scenario.endpointLink());
         for (int i = 0; i < scenario.tiers().size(); i++) {
-            Scenario.Tier tier = scenario.tiers().get(i);
-            UniformRandomProvider random = random("tier " + i);
-            Row row = new Row();
             Scenario.Discovery how = scenario.discovery();
-            row.registry = new Registry(agenda, random("registry " + i), how.pushes(), how.pollMs(),
+            Registry registry = new Registry(agenda, random("registry " + i), how.pushes(), how.pollMs(),
                 how.leastLagMs(), how.mostLagMs());
-            List<Rack> racks = new ArrayList<>();
-            for (int r = 0; r < tier.racks(); r++) {
-                racks.add(new Rack(agenda, tier.rackWindowMs()));
-            }
-            for (int n = 0; n < tier.count(); n++) {
-                double speed = tier.leastSpeed()
-                    + (tier.mostSpeed() - tier.leastSpeed()) * random.nextDouble();
-                EndpointShape shape = new EndpointShape(tier.name() + "-" + (n + 1), n % tier.racks(),
-                    tier.cores(), speed, tier.slots(), tier.waitingRoom(), tier.connections(),
-                    tier.handshakeMs(), tier.cold(), tier.crowding());
-                Endpoint model = new Endpoint(agenda, shape, racks.get(n % tier.racks()));
-                if (tier.startsCold()) {
-                    model.start();
-                }
-                double calls = tier.calls();
-                EndpointHost host = new EndpointHost(loop, agenda, model, i, tier.workShare(),
-                    () -> (int) calls + (random.nextDouble() < calls - (int) calls ? 1 : 0), recorder);
-                row.hosts.add(host);
-                row.byId.put(host.id(), host);
-                parts.add(host);
-                if (relays) {
-                    Relay relay = new Relay(loop, host.address(), scenario.endpointLink(), random);
-                    row.links.put(host, relay);
-                    parts.add(relay);
-                }
-                row.registry.set(new Registry.Line(host.id(), Registry.State.IN_SERVICE, model.startedMs()));
-            }
-            rows.add(row);
+            EndpointTier tier = new EndpointTier(scenario.tiers().get(i), i, loop, agenda, registry,
+                recorder);
+            parts.add(tier);
+            tiers.add(tier);
+            tier.open(random("tier " + i), relays ? scenario.endpointLink() : null);
         }
-        faults = new FaultPlayer(agenda, rows.stream().map(row ->
-            new FaultPlayer.Tier(row.hosts, row.links::get, row.registry)).toList(), random("faults"));
+        faults = new FaultPlayer(agenda, tiers.stream().map(EndpointTier::forFaults).toList(),
+            random("faults"));
     }
 
     private InetSocketAddress sidecar(int tier, int number, int count) throws IOException {
         String name = name(tier, number);
-        Row row = rows.get(tier);
-        Registry.Agent source = on(() -> row.registry.agent(line ->
+        EndpointTier endpoints = tiers.get(tier);
+        Registry.Agent source = on(() -> endpoints.registry().agent(line ->
             recorder.told(name, line.id(), line.state() == Registry.State.IN_SERVICE)));
-        AgentHost agent = new AgentHost(loop, source, row.byId::get,
-            id -> row.links.containsKey(row.byId.get(id)) ? row.links.get(row.byId.get(id)).address()
-                : row.byId.get(id).address(), System.currentTimeMillis());
+        AgentHost agent = new AgentHost(loop, source, endpoints::host, endpoints::address,
+            System.currentTimeMillis());
         parts.add(agent);
         boolean process = scenario.sidecars().ownProcess();
         InetSocketAddress listen = process ? SidecarHost.freePort()
@@ -221,7 +179,7 @@
 
     /** Gives each endpoint of the tier above a sidecar of its own for its calls. */
     private void chain(int tier) throws IOException {
-        List<EndpointHost> above = rows.get(tier - 1).hosts;
+        List<EndpointHost> above = tiers.get(tier - 1).hosts();
         for (int i = 0; i < above.size(); i++) {
             String name = name(tier, i);
             ClientPool pool = new ClientPool(loop, sidecar(tier, i, above.size()),
@@ -240,26 +198,12 @@
             return () -> { };
         }
         String id = Long.toHexString(random.nextLong());
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, of.method(), of.uri(),
-            Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, "lab").set("X-Request-Id", id)
-            .set("X-Deadline-Ms", (long) leftMs).set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        for (String kept : List.of("X-Class", "X-Tenant")) {
-            if (of.headers().contains(kept)) {
-                request.headers().set(kept, of.headers().get(kept));
-            }
-        }
-        String key = of.headers().get("Idempotency-Key");
-        int number = onBehalfOf.nextCall();
-        if (key != null) {
-            // The calls of one request are things of their own; the same call of its repeat is not.
-            request.headers().set("Idempotency-Key", key + "." + number);
-        }
+        FullHttpRequest request = RequestMessages.onBehalfOf(of, id, onBehalfOf.nextCall(), leftMs);
         recorder.sent(id, sidecar, onBehalfOf);
         double sentMs = agenda.nowMs();
         RequestClass kind = settings.classes().get(classNames().indexOf(of.headers().get("X-Class")));
         return pool.send(request, leftMs + ANSWER_SLACK_MS, (end, answer) -> {
-            checkAnswer(id, kind, end, answer, sentMs, leftMs);
+            answers.check(id, kind, end, answer, sentMs, leftMs);
             done.accept(end == Ask.End.SERVED);
         })::abandon;
     }
@@ -293,14 +237,21 @@
                 recorder.sent(id, names.get(to), null);
                 double sentMs = agenda.nowMs();
                 RequestClass kind = classes.get(places.get(ask.requestClass()));
-                pools.get(to).send(request(ask, id, kind, patienceMs), patienceMs + slackMs(),
-                    (end, answer) -> {
-                        checkAnswer(id, kind, end, answer, sentMs, patienceMs);
-                        reply.ended(end, answer == null ? 0 : answer.status().code(), retryAfterMs(answer));
-                    });
+                FullHttpRequest request = RequestMessages.of(ask, id, kind.name(), tenantName(ask),
+                    patienceMs);
+                pools.get(to).send(request, patienceMs + slackMs(), (end, answer) -> {
+                    answers.check(id, kind, end, answer, sentMs, patienceMs);
+                    reply.ended(end, answer == null ? 0 : answer.status().code(),
+                        RequestMessages.retryAfterMs(answer));
+                });
             });
     }
 
+    /** The tenant's name, or null where the scenario has no tenants. */
+    private String tenantName(Ask ask) {
+        return scenario.tenants().isEmpty() ? null : scenario.tenants().get(ask.tenant()).name();
+    }
+
     /** A sidecar counts from when a request has come: the way there and back is not its own doing. */
     private double slackMs() {
         Scenario.Link link = scenario.clientLink();
@@ -308,55 +259,6 @@
             + (link.bytesPerMs() > 0 ? MESSAGE_BYTES / link.bytesPerMs() : 0);
     }
 
-    private FullHttpRequest request(Ask ask, String id, RequestClass kind, double patienceMs) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-            ask.key() == null ? HttpMethod.GET : HttpMethod.POST,
-            String.format(Locale.ROOT, "/api?work=%.3f", ask.workMs()), Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, "lab").set("X-Request-Id", id)
-            .set("X-Class", kind.name()).set("X-Deadline-Ms", (long) patienceMs)
-            .set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        if (ask.key() != null) {
-            request.headers().set("Idempotency-Key", ask.key());
-        }
-        if (!scenario.tenants().isEmpty()) {
-            request.headers().set("X-Tenant", scenario.tenants().get(ask.tenant()).name());
-        }
-        return request;
-    }
-
-    private static double retryAfterMs(FullHttpResponse answer) {
-        String text = answer == null ? null : answer.headers().get("Retry-After");
-        try {
-            return text == null ? Double.NaN : Double.parseDouble(text) * 1000;
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
-
-    /** One final answer, made by an endpoint where it serves, and no refusal of what may have run. */
-    private void checkAnswer(String id, RequestClass kind, Ask.End end, FullHttpResponse answer,
-            double sentMs, double waitMs) {
-        List<AttemptRecorder.Attempt> attempts = recorder.of(id);
-        if (end == Ask.End.GIVEN_UP) {
-            recorder.broken("no answer within " + Math.round(agenda.nowMs() - sentMs) + " of "
-                + Math.round(waitMs) + " ms: " + id);
-        } else if (end == Ask.End.LOST && scenario.clientLink().isPlain()) {
-            recorder.broken("the connection ended without a whole answer: " + id);
-        } else if (end == Ask.End.SERVED) {
-            String body = answer.content().toString(StandardCharsets.UTF_8);
-            if (attempts.stream().noneMatch(attempt -> body.equals(attempt.endpoint() + " " + id))) {
-                recorder.broken("served with what no endpoint made for it: " + id);
-            }
-        }
-        if (end == Ask.End.REFUSED && !kind.refusableAfterRun()
-                && attempts.stream().anyMatch(attempt -> !Double.isNaN(attempt.ranMs()))) {
-            recorder.broken("refused after it may have run: " + id);
-        }
-        if (attempts.size() > settings.limits().tries()) {
-            recorder.broken(attempts.size() + " attempts: " + id);
-        }
-    }
-
     /** Plays to the end, or until this thread is interrupted; {@code each} may look at what was asked. */
     public Played play(Consumer<Supplier<List<Ask>>> each) {
         cpuBeganMs = cpu();
@@ -405,7 +307,7 @@
             Map<String, Integer> counts = new HashMap<>();
             recorder.attempts().stream().filter(attempt -> attempt.tier() == 0)
                 .forEach(attempt -> counts.merge(attempt.endpoint(), 1, Integer::sum));
-            return rows.get(0).hosts.stream().map(host -> new Standing(host.id(),
+            return tiers.get(0).hosts().stream().map(host -> new Standing(host.id(),
                 counts.getOrDefault(host.id(), 0), host.model().trouble())).toList();
         });
     }
@@ -421,6 +323,18 @@
 
     private Played played(boolean whole) {
         List<String> broken = new ArrayList<>(recorder.broken());
+        ranTwice(broken);
+        pushedOver(broken);
+        crashed(broken);
+        return new Played(scenario, variant, seed, settings, whole, clients.asks(), recorder, nodes(), broken,
+            new Played.Lateness(agenda.lateMicros().getValueAtPercentile(99) / 1e3,
+                agenda.lateMicros().getMaxValue() / 1e3, clients.meanLateMs(), clients.mostLateMs(),
+                pools.stream().mapToLong(ClientPool::waited).sum()),
+            pools.stream().mapToInt(ClientPool::mostOpen).sum(), cpuMs);
+    }
+
+    /** Adds the requests with a key that endpoints ran more than once. */
+    private void ranTwice(List<String> broken) {
         Map<String, Integer> ran = new HashMap<>();
         Map<String, Ask> byTry = new HashMap<>();
         clients.asks().forEach(ask -> ask.tries().forEach(each -> byTry.put(each.id(), ask)));
@@ -435,26 +349,30 @@
                 broken.add("ran twice: " + attempt.request());
             }
         }
-        List<Played.Node> nodes = new ArrayList<>();
-        for (int tier = 0; tier < rows.size(); tier++) {
-            for (EndpointHost host : rows.get(tier).hosts) {
-                nodes.add(new Played.Node(tier, host.id(), host.model().shape().speed(),
-                    host.model().doneMs(), host.model().mostHeld()));
-                if (host.model().hasFallen()) {
-                    broken.add("pushed over while cold: " + host.id());
-                }
-            }
-        }
+    }
+
+    private void pushedOver(List<String> broken) {
+        tiers.stream().flatMap(tier -> tier.hosts().stream()).filter(host -> host.model().hasFallen())
+            .forEach(host -> broken.add("pushed over while cold: " + host.id()));
+    }
+
+    private void crashed(List<String> broken) {
         sidecars.forEach((name, sidecar) -> {
             if (sidecar.hasCrashed()) {
                 broken.add("ended by itself: " + name);
             }
         });
-        return new Played(scenario, variant, seed, settings, whole, clients.asks(), recorder, nodes, broken,
-            new Played.Lateness(agenda.lateMicros().getValueAtPercentile(99) / 1e3,
-                agenda.lateMicros().getMaxValue() / 1e3, clients.meanLateMs(), clients.mostLateMs(),
-                pools.stream().mapToLong(ClientPool::waited).sum()),
-            pools.stream().mapToInt(ClientPool::mostOpen).sum(), cpuMs);
+    }
+
+    private List<Played.Node> nodes() {
+        List<Played.Node> nodes = new ArrayList<>();
+        for (int tier = 0; tier < tiers.size(); tier++) {
+            for (EndpointHost host : tiers.get(tier).hosts()) {
+                nodes.add(new Played.Node(tier, host.id(), host.model().shape().speed(),
+                    host.model().doneMs(), host.model().mostHeld()));
+            }
+        }
+        return nodes;
     }
 
     @Override
