http1: guard and connection speak of discarded input and auto-read in plain terms

Need: names such as goDeaf, mindReading, heardAt and glutted need explaining. Change: renames only, by script; no behaviour differs.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -122,7 +122,7 @@
 
     /** The same of one on which half a request may stand. */
     boolean isIdle() {
-        return isAnswered() && (!ending || guard.hasSaid()) && !channel.hasUnread();
+        return isAnswered() && (!ending || guard.hasWrittenLastAnswer()) && !channel.hasUnread();
     }
 
     /** Whether its last answer is on its way, or written. */
@@ -137,7 +137,7 @@
 
     /** Whether nothing has happened on it since then. */
     boolean isStillSince(double time) {
-        return Math.max(quietSince, guard.heardAt()) <= time;
+        return Math.max(quietSince, guard.lastReadAt()) <= time;
     }
 
     /** Whether bytes have come that are not read yet. */
@@ -150,12 +150,12 @@
         guard.headRead();
         if (event == RequestReader.EXPECTS) {
             continueOwed = true;
-            mindContinue();
+            sendContinueIfDue();
         }
     }
 
     /** Asks for the body that a client holds back, once no answer is under way that this would break into. */
-    private void mindContinue() {
+    private void sendContinueIfDue() {
         if (continueOwed && replies.isEmpty()) {
             continueOwed = false;
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
@@ -190,7 +190,7 @@
         } else {
             guard.requestTaken();
         }
-        mindReading();
+        updateAutoRead();
         if (message instanceof Refusal refusal) {
             frontend.refused(refusal);
             reply.giveUp(refusal);
@@ -206,7 +206,7 @@
         uploading = null;
         farFull = false;
         guard.requestTaken();
-        mindReading();
+        updateAutoRead();
         whole.taken();
         if (whole.openId() != null) {
             frontend.exchange().bodyWhole(whole.openId());
@@ -217,7 +217,7 @@
     private void readBody(boolean on) {
         farFull = !on;
         guard.reading(on);
-        mindReading();
+        updateAutoRead();
     }
 
     private void take(ClientReply reply, Incoming request) {
@@ -268,24 +268,24 @@
     }
 
     /** What is not read for long hides that its client has gone: only what has no place is left unread. */
-    private void mindReading() {
+    private void updateAutoRead() {
         guard.full(replies.size() >= MOST_AHEAD);
-        channel.config().setAutoRead(guard.takes() && (ending || guard.isDeaf()
+        channel.config().setAutoRead(guard.takes() && (ending || guard.isDiscarding()
             || !farFull && (channel.isWritable() || uploading != null)));
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        mindReading();
+        updateAutoRead();
         if (writer != null) {
             writer.more();
         }
     }
 
     /** Nothing that comes from now on is listened to. */
-    void goDeaf() {
+    void discardInput() {
         reader.stop();
-        guard.goDeaf();
+        guard.discardInput();
     }
 
     /** Writes the answers that are there, as far as none before them is missing. */
@@ -302,9 +302,9 @@
         if (ending) {
             drop();
         } else if (replies.isEmpty()) {
-            mindQuiet();
+            allAnswered();
         }
-        mindReading();
+        updateAutoRead();
     }
 
     private void write(ClientReply reply) {
@@ -312,7 +312,7 @@
         if (uploading == reply) {
             // Its client still sends what nobody needs any more, and would go on with it.
             last = true;
-            guard.letBodyCome();
+            guard.allowRestOfBody();
         }
         if (last) {
             reply.response().headers().set(HttpHeaderNames.CONNECTION, "close");
@@ -327,13 +327,13 @@
     }
 
     /** All is answered; the connection is free once that is written as well. */
-    private void mindQuiet() {
+    private void allAnswered() {
         if (unwritten > 0) {
             guard.answering();
         } else if (frontend.connections().answered(this)) {
             quietSince = frontend.clock().now();
             guard.answered();
-            mindContinue();
+            sendContinueIfDue();
         }
     }
 
--- a/edge/src/main/java/lemonrail/http1/ClientGuard.java
+++ b/edge/src/main/java/lemonrail/http1/ClientGuard.java
@@ -38,7 +38,7 @@
     /** What is kept of what comes while as many requests as may be are in hand. */
     private static final int MOST_WAITING_BYTES = 16 * 1024;
     /** Between two reads of one who has sent more than that: enough to notice soon that it has gone. */
-    private static final int GLUT_MS = 1;
+    private static final int THROTTLED_READ_MS = 1;
 
     /** What crosses the end of a time limit is read within this time. */
     private static final int CROSSING_MS = 1;
@@ -48,18 +48,18 @@
     private Future<?> limit;
     private boolean begun;
     private boolean waiting;
-    private boolean deaf;
+    private boolean discarding;
     /** As many requests as may be are in hand: what comes now waits here. */
     private boolean full;
     private ByteBuf held;
     /** The last answer is written. */
-    private boolean said;
+    private boolean lastAnswerWritten;
     /** More than is dropped came while answers were owed: until these are written it is read at a pace. */
-    private boolean glutted;
+    private boolean throttled;
     /** A time limit has given way once to what came in that very instant. */
     private boolean crossingRead;
-    private long unheard;
-    private long mostUnheard = MOST_LINGERING_BYTES;
+    private long discardedBytes;
+    private long mostDiscardedBytes = MOST_LINGERING_BYTES;
     private int mostLingerMs = LINGER_MS;
     /** By when the request must be whole, but for what its body's pace adds. */
     private double dueAt;
@@ -67,12 +67,12 @@
     private long bodyBytes;
     private double pausedAt = -1;
     /** When something last came. */
-    private double heardAt;
+    private double lastReadAt;
 
     ClientGuard(AcceptedSocket channel, Clock clock) {
         this.channel = channel;
         this.clock = clock;
-        heardAt = clock.now();
+        lastReadAt = clock.now();
     }
 
     @Override
@@ -98,7 +98,7 @@
             await((int) Math.ceil(left), () -> checkRequest(ctx));
         } else if (isCrossed()) {
             await(CROSSING_MS, () -> checkRequest(ctx));
-        } else if (begun && !deaf) {
+        } else if (begun && !discarding) {
             ctx.fireUserEventTriggered(LATE);
         } else {
             channel.close();
@@ -136,12 +136,12 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
         int size = ((ByteBuf) bytes).readableBytes();
-        heardAt = clock.now();
-        if (deaf) {
-            unheard += size;
+        lastReadAt = clock.now();
+        if (discarding) {
+            discardedBytes += size;
             ((ByteBuf) bytes).release();
-            if (unheard > mostUnheard) {
-                endGlut();
+            if (discardedBytes > mostDiscardedBytes) {
+                throttle();
             }
             return;
         }
@@ -152,14 +152,14 @@
         hear(ctx, (ByteBuf) bytes);
     }
 
-    private void endGlut() {
-        if (said) {
+    private void throttle() {
+        if (lastAnswerWritten) {
             channel.close();
         } else {
             // Its end stands behind what it has sent, and is heard only once all that is read.
-            glutted = true;
+            throttled = true;
             channel.config().setAutoRead(false);
-            channel.eventLoop().schedule(this::readOn, GLUT_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(this::readOn, THROTTLED_READ_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -174,7 +174,7 @@
         held.writeBytes(bytes);
         bytes.release();
         if (held.readableBytes() > MOST_WAITING_BYTES) {
-            goDeaf();
+            discardInput();
             ctx.fireUserEventTriggered(FLOOD);
         }
     }
@@ -225,16 +225,16 @@
 
     /** Whether what comes is read as it comes. */
     boolean takes() {
-        return !glutted;
+        return !throttled;
     }
 
-    boolean isDeaf() {
-        return deaf;
+    boolean isDiscarding() {
+        return discarding;
     }
 
     /** Whether the last answer is written. */
-    boolean hasSaid() {
-        return said;
+    boolean hasWrittenLastAnswer() {
+        return lastAnswerWritten;
     }
 
     private void dropHeld() {
@@ -253,8 +253,8 @@
     }
 
     /** When something last came, or the connection itself. */
-    double heardAt() {
-        return heardAt;
+    double lastReadAt() {
+        return lastReadAt;
     }
 
     /** Whether a part of a request has come. */
@@ -269,7 +269,7 @@
 
     /** All that was asked is answered, and that is written. */
     void answered() {
-        if (!deaf && channel.isActive()) {
+        if (!discarding && channel.isActive()) {
             waiting = !begun;
             if (begun && inBody) {
                 dueAt = Math.max(dueAt, clock.now() + BODY_MS);
@@ -284,27 +284,27 @@
     }
 
     /** Nothing that comes from now on is listened to. */
-    void goDeaf() {
-        deaf = true;
+    void discardInput() {
+        discarding = true;
         dropHeld();
     }
 
     /** The rest of a body that its request no longer needs may still come before the connection is cut. */
-    void letBodyCome() {
-        mostUnheard = AnswerReader.MOST_BODY_BYTES;
+    void allowRestOfBody() {
+        mostDiscardedBytes = AnswerReader.MOST_BODY_BYTES;
         mostLingerMs = MOST_LINGER_MS;
     }
 
     /** Ends the connection once its last answer is written, in a way that lets that answer arrive. */
     void endAfter(ChannelFuture lastAnswer) {
-        goDeaf();
-        channel.config().setAutoRead(!glutted);
+        discardInput();
+        channel.config().setAutoRead(!throttled);
         awaitTaken(Long.MIN_VALUE);
         lastAnswer.addListener(written -> {
-            said = true;
+            lastAnswerWritten = true;
             if (written.isSuccess()) {
-                glutted = false;
-                mostUnheard = Math.max(mostUnheard, unheard + MOST_LINGERING_BYTES);
+                throttled = false;
+                mostDiscardedBytes = Math.max(mostDiscardedBytes, discardedBytes + MOST_LINGERING_BYTES);
                 channel.shutdownOutput();
                 channel.config().setAutoRead(true);
                 linger(-1, clock.now() + mostLingerMs);
@@ -325,11 +325,11 @@
     }
 
     /** Waits for as long as the client goes on sending. */
-    private void linger(long unheardBefore, double until) {
-        if (unheard == unheardBefore || clock.now() >= until) {
+    private void linger(long discardedBefore, double until) {
+        if (discardedBytes == discardedBefore || clock.now() >= until) {
             channel.close();
         } else {
-            long now = unheard;
+            long now = discardedBytes;
             await(LINGER_MS, () -> linger(now, until));
         }
     }
--- a/edge/src/main/java/lemonrail/http1/ClientReply.java
+++ b/edge/src/main/java/lemonrail/http1/ClientReply.java
@@ -160,7 +160,7 @@
     /** Answers what is no request; nothing more is heard from who sends such. */
     void giveUp(RequestReader.Refusal refusal) {
         keepAlive = false;
-        connection.goDeaf();
+        connection.discardInput();
         plain(refusal.status(), refusal.why());
     }
 
--- a/edge/src/main/java/lemonrail/http1/Frontend.java
+++ b/edge/src/main/java/lemonrail/http1/Frontend.java
@@ -159,7 +159,7 @@
         return connections.isEmpty();
     }
 
-    private void mindAccepting() {
+    private void updateAccepting() {
         boolean room = connections.excess() < OVERFLOW;
         if (!room) {
             log.trouble("accept_paused", "no more connections are taken in",
@@ -208,13 +208,13 @@
     /** A connection is there; false if there is no room for it. */
     boolean opened(ClientConnection connection) {
         boolean room = connections.add(connection);
-        mindAccepting();
+        updateAccepting();
         return room;
     }
 
     void closed(ClientConnection connection) {
         connections.remove(connection);
-        mindAccepting();
+        updateAccepting();
     }
 
     /** Which connections there are, and which of them make room for others. */
