--- /dev/null
+++ b/edge/src/main/java/lemonrail/control/WatchContext.java
@@ -0,0 +1,31 @@
+package lemonrail.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import lemonrail.core.control.ControlState;
+import lemonrail.core.control.InForce;
+import lemonrail.core.control.Item;
+import lemonrail.logging.EventLog;
+import lemonrail.time.Clock;
+
+/**
+ * What all watches of a node share.
+ *
+ * @param boot of this node: versions are its own
+ * @param mostWatchers connections of watchers beyond which calls are turned away
+ * @param gapMs between two answers with news to one watcher
+ */
+record WatchContext(EventLoop loop, Clock clock, EventLog log, ControlState state, InForce inForce,
+        WatchServer.Node node, String boot, int mostWatchers, double gapMs, Answers answers) {
+
+    /** The topics that a call is about. */
+    List<String> topics(WatchCall call) {
+        if (!call.all()) {
+            return call.topics();
+        }
+        List<String> all = new ArrayList<>(call.topics());
+        state.topics().stream().filter(topic -> !topic.startsWith(Item.SETTINGS)).forEach(all::add);
+        return all;
+    }
+}
