Where balancers outnumber servers, cuts and pauses stay as they were

Leaving cold servers alone out of the second did not help.

Change: the pressure is set back only where a balancer has a server's part at least; dials pass for chance only where its part of four calls a server is a call or more.

--- a/core/src/main/java/lemonrail/core/policy/Health.java
+++ b/core/src/main/java/lemonrail/core/policy/Health.java
@@ -19,7 +19,7 @@
     private static final double SLOWEST = 8;
 
     private final Pool pool;
-    private final double connectTimeoutMs;
+    private final Settings settings;
     private final List<Target> paused = new ArrayList<>();
     /** Servers on trial. */
     int ailing;
@@ -29,7 +29,7 @@
     Health(Settings settings, Pool pool, TroubleReport report) {
         this.report = report;
         this.pool = pool;
-        connectTimeoutMs = settings.limits().connectTimeoutMs();
+        this.settings = settings;
     }
 
     /** Learns from how long a call has waited, with or without an answer. */
@@ -45,13 +45,14 @@
     void judge(double now, Slot slot, Outcome outcome, boolean failed) {
         Target target = slot.target;
         boolean alive = learnConnection(slot, outcome);
-        if (outcome == Outcome.CONNECT_ERROR && dials.explains(target.connectsFailed)) {
-            // As many fail at servers that are well: the call goes elsewhere, and nothing is held against it.
+        if (outcome == Outcome.CONNECT_ERROR && dials.explains(target.connectsFailed)
+                && pool.ranks.ready * Limit.FIRST_CALLS >= settings.balancers()) {
+            // As many fail at servers that are well. Where many share few, the sum of new dials needs pauses.
             pool.drop(slot);
             pool.offer(now, target);
         } else if (alive) {
             pool.drop(slot);
-            pause(now, target, connectTimeoutMs * 2);
+            pause(now, target, settings.limits().connectTimeoutMs() * 2);
         } else if (failed && !blamedOnShared()) {
             pool.drop(slot);
             if (fails(target, outcome)) {
@@ -66,7 +67,7 @@
             report.metFullServer();
             // It is crowded, not sick: no other slot is taken there for a while.
             pool.drop(slot);
-            pause(now, target, connectTimeoutMs);
+            pause(now, target, settings.limits().connectTimeoutMs());
         }
     }
 
@@ -112,7 +113,7 @@
             ailing++;
             report.ejected();
         }
-        pause(now, target, connectTimeoutMs * (1 << target.strikes));
+        pause(now, target, settings.limits().connectTimeoutMs() * (1 << target.strikes));
         if (target.strikes > 1) {
             pool.dropAll(target);
         }
--- a/core/src/main/java/lemonrail/core/policy/Limit.java
+++ b/core/src/main/java/lemonrail/core/policy/Limit.java
@@ -159,8 +159,8 @@
             if (now >= nextCut) {
                 limit = Math.max(share(LEAST_CALLS), Math.min(limit, peak + 1) * CUT);
                 nextCut = now + call.learned.typicalMs();
-                // What was slow before a cut must not cut again, which it did where answers are few.
-                pressure = comfort();
+                // What was slow before a cut must not cut again; where balancers outnumber servers it may.
+                pressure = growth() < 1 ? pressure : comfort();
             }
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
             // Where balancers are few, a drained one's calls come at once: a step a round would refuse many.
