--- a/review/stand-ins/LeaveCase.java
+++ b/review/stand-ins/LeaveCase.java
@@ -15,6 +15,9 @@
 
     private static final int ENDPOINTS = 9;
     private static final int ROUNDS = 5;
+    /** Each takes a new connection, so that a third of the connections at most are late: 5 of some 16. */
+    private static final int SMALL_REQUESTS = 2;
+
     private static final int BODY_BYTES = 200_000;
     private static final int LEAVE_MS = 30;
     /** How late the connection comes up; the page has up to 1.5 s, for a third of the connections. */
@@ -60,16 +63,19 @@
 
     /** Returns 1 if an attempt began too late, else 0. */
     private int playRound(Sidecar sidecar, Map<String, Endpoint> endpoints, int round) throws Exception {
-        // The endpoint that serves a small request is the one that is chosen next. It closes the connection after its
-        // answer, as endpoints may, so that the next attempt there needs a new connection.
+        // The endpoint that served the last small request is the one that is chosen next. It closes the connection after
+        // its answer, as endpoints may, so that the next attempt there needs a new connection.
         closesAfterAnswer = true;
-        String answer = Client.preview(sidecar, "small-" + round);
+        String answer = "";
+        for (int i = 0; i < SMALL_REQUESTS; i++) {
+            answer = Client.preview(sidecar, "small-" + round + "-" + i);
+            Thread.sleep(100);
+        }
         closesAfterAnswer = false;
         Endpoint chosen = endpoints.get(answer.substring(answer.lastIndexOf(' ') + 1));
         if (chosen == null) {
             throw new IllegalStateException("no endpoint served the small request: " + answer);
         }
-        Thread.sleep(200);
         if (trouble) {
             chosen.holdConnections(LATE_MS);
         }
