A large request is answered by its deadline also while its endpoint doesn't take the body

Cause: BodyPipe stops reading the client while the endpoint takes nothing, and the client's time counted from the last byte that was read. So the sidecar held back the byte from which it meant to count, and no deadline ran: RequestDispatcher started none while the body was incomplete. Left was StreamProgressMonitor's look every 4 s, which takes up to 8 s to notice a stall and lets a slow upload go on.

Look at 4 s: 3,965,952 bytes forwarded, 0 before; at 8 s the same, body incomplete, though the client's write had returned after 30 ms. With a deadline of 1.5 s the response came after 8.0 s, and at an endpoint that reads 0.6 MB/s after 3.2 s.

Change: a request body is AWAITED, HELD_BACK or COMPLETE. When the sidecar stops reading, the last byte may be waiting, so the client's time counts from then and the decision timeout starts; it is taken back when reading finds nothing unread and the body incomplete. At the timeout the upload ends as timed out, and the balancer decides. An attempt's timeout after an upload ends with the client's time, too. This is right as a byte that the sidecar has not looked for can have come at any time since it last looked.

--- a/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
+++ b/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
@@ -100,9 +100,20 @@
      * is no longer needed.
      */
     void cancelUnwritten(PendingRequest<M, A> request) {
+        endUnwritten(request, AttemptOutcome.CANCELED);
+    }
+
+    /** Times out the attempts that are still sending a large body. They have no other limit on their total time. */
+    void timeOutUploads(PendingRequest<M, A> request) {
+        if (request.message().remainingBody() != null) {
+            endUnwritten(request, AttemptOutcome.TIMED_OUT);
+        }
+    }
+
+    private void endUnwritten(PendingRequest<M, A> request, AttemptOutcome outcome) {
         for (PendingAttempt attempt : List.copyOf(request.attempts())) {
             if (!attempt.isFinished() && !attempt.upstreamAttempt().mayHaveExecuted()) {
-                cancel(request, attempt, AttemptOutcome.CANCELED);
+                cancel(request, attempt, outcome);
             }
         }
     }
@@ -185,7 +196,7 @@
             if (request.message().remainingBody() != null && !attempt.isFinished()) {
                 attempt.restartAfterUpload(nowMs());
                 attempt.cancelTimeout();
-                startTimeout(request, attempt, timeoutMs);
+                startTimeout(request, attempt, Math.min(timeoutMs, deadlines.remainingMs(request, nowMs())));
             }
         }
 
--- a/edge/src/main/java/lemonrail/exchange/PendingRequest.java
+++ b/edge/src/main/java/lemonrail/exchange/PendingRequest.java
@@ -24,6 +24,7 @@
     private final double clientTimeoutMs;
     private final double maxQueueDelayMs;
 
+    private RequestBodyState bodyState;
     private double deadlineMs;
     private double retryWindowEndMs = Double.POSITIVE_INFINITY;
     private Future<?> decisionTimeout;
@@ -49,6 +50,7 @@
         this.maxQueueDelayMs = maxQueueDelayMs;
         clientTimeoutMs = request.deadlineMs() - nowMs;
         deadlineMs = request.deadlineMs();
+        bodyState = message.isBodyArriving() ? RequestBodyState.AWAITED : RequestBodyState.COMPLETE;
     }
 
     String id() {
@@ -75,6 +77,14 @@
         return sink;
     }
 
+    RequestBodyState bodyState() {
+        return bodyState;
+    }
+
+    void setBodyState(RequestBodyState bodyState) {
+        this.bodyState = bodyState;
+    }
+
     /** Returns how long the client waits, measured from the time at which the request was read. */
     double clientTimeoutMs() {
         return clientTimeoutMs;
@@ -85,7 +95,7 @@
         return maxQueueDelayMs;
     }
 
-    /** Returns when the client stops waiting. */
+    /** Returns when the client stops waiting; not meaningful while its timeout has not started. */
     double deadlineMs() {
         return deadlineMs;
     }
--- a/edge/src/main/java/lemonrail/exchange/RequestDeadlines.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDeadlines.java
@@ -51,17 +51,20 @@
     }
 
     /**
-     * Returns how long an attempt that starts now may take. If the request body is still arriving, the time is measured
-     * from the end of the body.
+     * Returns how long an attempt may still take. While the client's timeout has not started, the time is measured from
+     * the end of the request body.
      */
     double remainingMs(PendingRequest<?, ?> request, double nowMs) {
-        return request.message().isBodyArriving()
+        return request.bodyState() == RequestBodyState.AWAITED
                 ? request.clientTimeoutMs() - reserveMs(request)
                 : responseDueMs(request) - nowMs;
     }
 
-    /** Restarts the client's timeout, because the rest of a large request body has just been received. */
-    void restartClientTimeout(PendingRequest<?, ?> request) {
+    /**
+     * Starts the client's timeout, because the last byte of a large request body has arrived or may have arrived since
+     * all input was last read.
+     */
+    void startClientTimeout(PendingRequest<?, ?> request) {
         request.setDeadlineMs(clock.now() - clock.maxQueueDelayMs() + request.clientTimeoutMs());
     }
 
--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -127,18 +127,49 @@
         PendingRequest<M, A> request =
                 new PendingRequest<>(details, message, sink, clock.now(), clock.maxQueueDelayMs());
         requests.add(request);
-        if (!message.isBodyArriving()) {
+        if (request.bodyState() == RequestBodyState.COMPLETE) {
             startDecisionTimeout(request);
         }
         Request forBalancer = request.forBalancer(deadlines.responseDueMs(request));
         events.add(request, (loadBalancer, nowMs) -> loadBalancer.onRequest(nowMs, forBalancer));
     }
 
-    /** Handles the receipt of the rest of a large request body; the client's timeout starts now. */
+    /**
+     * Handles a pause in the reading of a large request body. The rest of the body may already be waiting to be read,
+     * so the client's timeout counts from now unless {@link #onRequestBodyCaughtUp} shows that it had not started.
+     */
+    public void onRequestBodyPaused(String id) {
+        PendingRequest<M, A> request = requests.findUnconcluded(id);
+        if (request != null) {
+            startClientTimeoutIfAwaited(request);
+            request.setBodyState(RequestBodyState.HELD_BACK);
+        }
+    }
+
+    /**
+     * Handles that everything that has arrived of a large request body has been read and more is to come, so that the
+     * client's timeout has not started yet.
+     */
+    public void onRequestBodyCaughtUp(String id) {
+        PendingRequest<M, A> request = requests.findUnconcluded(id);
+        if (request != null && request.bodyState() == RequestBodyState.HELD_BACK) {
+            request.cancelDecisionTimeout();
+            request.setBodyState(RequestBodyState.AWAITED);
+        }
+    }
+
+    /** Handles the receipt of the rest of a large request body; the client's timeout starts now at the latest. */
     public void onRequestBodyReceived(String id) {
         PendingRequest<M, A> request = requests.findUnconcluded(id);
         if (request != null) {
-            deadlines.restartClientTimeout(request);
+            startClientTimeoutIfAwaited(request);
+            request.setBodyState(RequestBodyState.COMPLETE);
+        }
+    }
+
+    private void startClientTimeoutIfAwaited(PendingRequest<M, A> request) {
+        if (request.bodyState() == RequestBodyState.AWAITED) {
+            deadlines.startClientTimeout(request);
             startDecisionTimeout(request);
         }
     }
@@ -173,6 +204,7 @@
     }
 
     private void onDecisionTimeout(PendingRequest<M, A> request) {
+        attempts.timeOutUploads(request);
         if (!request.isConcluded()) {
             requestLog.logDecisionTimeout(request);
             abandon(request);
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -229,9 +229,25 @@
     }
 
     private void onUploadReadingChanged(boolean reading) {
+        boolean pausedNow = !reading && !uploadPaused;
         uploadPaused = !reading;
         timeouts.onBodyReadingChanged(reading);
         updateReading();
+        if (pausedNow && hasUploadInFlight()) {
+            server.dispatcher().onRequestBodyPaused(uploadResponse.inFlightRequestId());
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!uploadPaused && hasUploadInFlight() && !channel.hasUnreadBytes()) {
+            server.dispatcher().onRequestBodyCaughtUp(uploadResponse.inFlightRequestId());
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private boolean hasUploadInFlight() {
+        return uploadResponse != null && uploadResponse.inFlightRequestId() != null;
     }
 
     /** Returns whether requests must be rejected because the maximum number of connections is exceeded. */
