A stalled upload is given up after 4 s, not after up to 8

What callers saw: a large request whose endpoint stops taking its body was answered as failed up to 8 s later, where the README's limit says 4 s.

Cause: StreamProgressMonitor compared the bytes forwarded at looks 4 s apart, so that a body which moved once after a look had up to two of these spans.

Change: it looks eight times within the 4 s and counts the looks in a row without progress.

Test: UploadDeadlineTest.uploadThatStallsAfterProgressEndsAtTheStallTimeout, with a deadline of 8 s: 7,928 ms before (limit 5,050), passes now. UploadDeadlineTest and StreamingTest pass.

--- a/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
+++ b/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
@@ -10,6 +10,8 @@
 
     private static final int UPLOAD_STALL_MS = 4000;
     private static final int RESPONSE_STALL_MS = 10_000;
+    /** How often progress is checked within the time after which an upload counts as stalled. */
+    private static final int CHECKS_PER_STALL = 8;
 
     private final EventLoopTimers timers;
 
@@ -22,17 +24,15 @@
      * send.
      */
     void watchUpload(PendingAttempt attempt, BodyPipe body, Runnable onStalled) {
-        scheduleUploadCheck(attempt, body, 0, onStalled);
+        scheduleUploadCheck(attempt, body, new Progress(), onStalled);
     }
 
-    private void scheduleUploadCheck(
-            PendingAttempt attempt, BodyPipe body, long previousForwardedBytes, Runnable onStalled) {
-        attempt.setTimeout(timers.schedule(UPLOAD_STALL_MS, () -> {
-            long forwardedBytes = body.forwardedBytes();
-            if (forwardedBytes == previousForwardedBytes && !body.isDrained()) {
-                onStalled.run();
+    private void scheduleUploadCheck(PendingAttempt attempt, BodyPipe body, Progress progress, Runnable onStalled) {
+        attempt.setTimeout(timers.schedule(UPLOAD_STALL_MS / CHECKS_PER_STALL, () -> {
+            if (progress.checksWithoutProgress(body) < CHECKS_PER_STALL) {
+                scheduleUploadCheck(attempt, body, progress, onStalled);
             } else {
-                scheduleUploadCheck(attempt, body, forwardedBytes, onStalled);
+                onStalled.run();
             }
         }));
     }
@@ -56,4 +56,17 @@
             }
         }));
     }
+
+    /** Counts consecutive checks between which a body had bytes to forward and none was forwarded. */
+    private static final class Progress {
+        private long forwardedBytes;
+        private int checksWithoutProgress;
+
+        int checksWithoutProgress(BodyPipe body) {
+            boolean stalled = body.forwardedBytes() == forwardedBytes && !body.isDrained();
+            forwardedBytes = body.forwardedBytes();
+            checksWithoutProgress = stalled ? checksWithoutProgress + 1 : 0;
+            return checksWithoutProgress;
+        }
+    }
 }
--- a/edge/src/test/java/lemonrail/assembly/UploadDeadlineTest.java
+++ b/edge/src/test/java/lemonrail/assembly/UploadDeadlineTest.java
@@ -15,6 +15,11 @@
 class UploadDeadlineTest {
 
     private static final int DEADLINE_MS = 1500;
+    private static final int LONG_DEADLINE_MS = 8000;
+    /** An upload of which an endpoint takes nothing for this time is given up. */
+    private static final int STALL_MS = 4000;
+
+    private static final int STALL_CHECK_INTERVAL_MS = 500;
     /** How much later than the deadline a final response may come. */
     private static final int LATE_RESPONSE_SLACK_MS = 550;
     /** More than the buffers of the endpoint's connection take, and less than those of both connections. */
@@ -45,7 +50,7 @@
             connection.in.readNBytes(TAKEN_BYTES);
             new FutureTask<>(() -> null).get();
         });
-        assertRespondedInTime();
+        assertRespondedWithin(DEADLINE_MS, DEADLINE_MS + LATE_RESPONSE_SLACK_MS);
     }
 
     /** Like the test above, for an endpoint that reads too slowly, so that the upload makes progress to the end. */
@@ -57,7 +62,18 @@
                 TimeUnit.MILLISECONDS.sleep(SLOW_PIECE_INTERVAL_MS);
             }
         });
-        assertRespondedInTime();
+        assertRespondedWithin(DEADLINE_MS, DEADLINE_MS + LATE_RESPONSE_SLACK_MS);
+    }
+
+    /** Guards against a stalled upload that is noticed only after up to twice the stall time-out. */
+    @Test
+    void uploadThatStallsAfterProgressEndsAtTheStallTimeout() throws Exception {
+        start(connection -> {
+            connection.readHead();
+            connection.in.readNBytes(TAKEN_BYTES);
+            new FutureTask<>(() -> null).get();
+        });
+        assertRespondedWithin(LONG_DEADLINE_MS, STALL_MS + STALL_CHECK_INTERVAL_MS + LATE_RESPONSE_SLACK_MS);
     }
 
     /** Guards against a deadline that counts from a pause in reading although the client sends on after it. */
@@ -69,7 +85,7 @@
         });
         int bytes = BODY_BYTES / 2 + CLIENT_PIECES * CLIENT_PIECE_BYTES;
         try (HttpTestConnection client = fixture.client()) {
-            client.send(head(bytes));
+            client.send(head(DEADLINE_MS, bytes));
             client.socket.getOutputStream().write(new byte[BODY_BYTES / 2]);
             for (int i = 0; i < CLIENT_PIECES; i++) {
                 client.socket.getOutputStream().write(new byte[CLIENT_PIECE_BYTES]);
@@ -85,15 +101,18 @@
         fixture = new SidecarFixture(endpoint).start();
     }
 
-    private String head(int bodyBytes) {
-        return fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: " + bodyBytes
+    private String head(int deadlineMs, int bodyBytes) {
+        return fixture.request("order", deadlineMs).split("Content-Length")[0] + "Content-Length: " + bodyBytes
                 + "\r\n\r\n";
     }
 
-    private void assertRespondedInTime() throws Exception {
+    private void assertRespondedWithin(int deadlineMs, int limitMs) throws Exception {
         try (HttpTestConnection client = fixture.client()) {
             FutureTask<Long> lastByteNs = new FutureTask<>(() -> {
-                client.send(head(BODY_BYTES)).socket.getOutputStream().write(new byte[BODY_BYTES]);
+                client.send(head(deadlineMs, BODY_BYTES))
+                        .socket
+                        .getOutputStream()
+                        .write(new byte[BODY_BYTES]);
                 return System.nanoTime();
             });
             new Thread(lastByteNs, "client").start();
@@ -102,7 +121,7 @@
             assertTrue(lastByteNs.isDone(), "the buffers take the complete request");
             long afterLastByteMs = TimeUnit.NANOSECONDS.toMillis(respondedNs - lastByteNs.get());
             assertTrue(
-                    afterLastByteMs <= DEADLINE_MS + LATE_RESPONSE_SLACK_MS,
+                    afterLastByteMs <= limitMs,
                     response.startLine() + " " + afterLastByteMs + " ms after the last byte");
             assertEquals(503, response.status(), "the request was not executed");
         }
