--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -28,6 +28,8 @@
     private static final int SHORT_DEADLINE_MS = 1000;
     /** The time after which a response without progress is aborted. */
     private static final int STALL_MS = 10_000;
+    /** The interval of the checks for progress, and some time for the transfer until it stalls. */
+    private static final int STALL_SLACK_MS = 1250 + 1250;
 
     private static final int LAST_CHUNK_BYTES = 9_001;
     private static final int LAST_CHUNKS = 600;
@@ -190,6 +192,27 @@
 
     // ---- truncated responses ----
 
+    /** Guards against a response that a client does not read being kept for up to twice the stall time-out. */
+    @Test
+    void unreadStreamIsGivenUpAtTheStallTimeout() throws Exception {
+        fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
+                    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    while (true) {
+                        connection.send("4000\r\n" + "x".repeat(0x4000) + "\r\n");
+                    }
+                }))
+                .start();
+        HttpTestConnection client = slowClient();
+        long startNs = System.nanoTime();
+        client.send(fixture.request("read", DEADLINE_MS));
+        assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        SidecarFixture.await(
+                "the attempt is cancelled", () -> fixture.endpoints.get(0).open.get() == 0);
+        long endedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+        assertTrue(endedMs >= STALL_MS && endedMs <= STALL_MS + STALL_SLACK_MS, "given up after " + endedMs + " ms");
+        assertTruncatedBetweenChunks(client);
+    }
+
     /** Guards against a shutdown that truncates a streamed response within a chunk. */
     @Test
     void stopTruncatesBetweenChunks() throws Exception {
