A restart no longer cuts off responses that are being forwarded

Cause: GracefulShutdown called RequestDispatcher.abandonAll at 3,410 ms, which cancelled streamed responses together with requests that still need a final response, and ended the process at 3,550 ms whatever was being written. SIGKILL may only come later than that; ending a response loses it for certain.

ShutdownResponseTest shows the second way: a client that reads late loses the rest at the exit.

Change: abandonUndecided gives a final response to whoever has none and leaves the others alone; the process ends once all connections are closed, after 60 s at the latest. Still cut off are responses to requests that came over 0.7 s after SIGTERM, which SIGKILL does not excuse, if nothing of them moved from 2.7 to 3.4 s: what their endpoint has stopped giving has failed, and the client can tell. This is right as a response that is left alone can only gain by the time up to SIGKILL, and no request is without a response by then.

Tests: ShutdownResponseTest: two of three failed before (EOFException after 3.5 and 3.8 s), all pass now.

--- a/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
+++ b/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
@@ -7,6 +7,7 @@
 import lemonrail.exchange.RequestDispatcher;
 import lemonrail.lifecycle.Lifecycle;
 import lemonrail.logging.EventLog;
+import lemonrail.time.Clock;
 import lemonrail.upgrade.SiblingProcessLock;
 
 /**
@@ -31,10 +32,20 @@
     private static final int CLOSE_CONNECTIONS_MS = 700;
     /** Time left unused before SIGKILL, because timers run late on a busy machine. */
     private static final int SAFETY_MARGIN_MS = 300;
-    /** Time after the end of the drain in which every request still in flight gets its final response. */
+    /**
+     * Requests received this long after SIGTERM or later have to end before SIGKILL. A response to one that has stalled
+     * by then is truncated, which its client can detect; one that makes progress continues.
+     */
+    private static final int LATE_REQUEST_MS = 700;
+    /** Time after the end of the drain in which every request that is still undecided gets its final response. */
     private static final int FINAL_RESPONSE_MS = 10;
+    /**
+     * The longest time that responses whose forwarding has begun keep the process running, unless it is killed first.
+     */
+    private static final int MAX_SHUTDOWN_MS = 60_000;
 
     private final EventLoop loop;
+    private final Clock clock;
     private final EventLog log;
     private final Lifecycle lifecycle;
     private final Listeners listeners;
@@ -43,12 +54,14 @@
 
     GracefulShutdown(
             EventLoop loop,
+            Clock clock,
             EventLog log,
             Lifecycle lifecycle,
             Listeners listeners,
             RequestDispatcher<?, ?> dispatcher,
             SiblingProcessLock siblingLock) {
         this.loop = loop;
+        this.clock = clock;
         this.log = log;
         this.lifecycle = lifecycle;
         this.listeners = listeners;
@@ -57,8 +70,9 @@
     }
 
     /**
-     * Blocks until all connections are closed or until shortly before SIGKILL is expected. Must be called once, from a
-     * thread other than the event loop.
+     * Blocks until all connections are closed. Shortly before SIGKILL is expected, every request without a final
+     * response gets one. Responses that are being forwarded then continue, because SIGKILL may come later than expected
+     * and ending them would truncate them for certain. Must be called once, from a thread other than the event loop.
      *
      * @param longestDeadlineMs the longest deadline of any request class, in milliseconds
      */
@@ -67,19 +81,26 @@
         long drainMs = killDelayMs - SAFETY_MARGIN_MS;
         CountDownLatch drained = new CountDownLatch(1);
         schedule(drainMs, drained);
-        awaitDrained(drained, drainMs + SAFETY_MARGIN_MS / 2);
+        awaitDrained(drained);
     }
 
     private void schedule(long drainMs, CountDownLatch drained) {
+        double startedMs = clock.now();
         long closeConnectionsAtMs = Math.max(LISTENER_CLOSE_DELAY_MS, drainMs - CLOSE_CONNECTIONS_MS);
         loop.execute(() -> beginShutdown(drainMs));
         scheduleOnce(() -> listeners.forEach(Downstream::closeListener), LISTENER_CLOSE_DELAY_MS);
         scheduleOnce(() -> listeners.forEach(Downstream::closeAfterResponses), closeConnectionsAtMs);
-        scheduleOnce(dispatcher::abandonAll, drainMs + FINAL_RESPONSE_MS);
+        scheduleOnce(dispatcher::markResponseProgress, closeConnectionsAtMs);
+        scheduleOnce(() -> endUndecided(startedMs + LATE_REQUEST_MS), drainMs + FINAL_RESPONSE_MS);
         loop.scheduleWithFixedDelay(
                 () -> signalIfDrained(drained), LISTENER_CLOSE_DELAY_MS, DRAIN_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void endUndecided(double lateRequestsFromMs) {
+        dispatcher.abandonUndecided();
+        dispatcher.cancelStalledResponses(lateRequestsFromMs);
+    }
+
     private void scheduleOnce(Runnable action, long delayMs) {
         loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
     }
@@ -104,11 +125,9 @@
         }
     }
 
-    private void awaitDrained(CountDownLatch drained, long timeoutMs) {
+    private void awaitDrained(CountDownLatch drained) {
         try {
-            // By the timeout every request has its final response, so connections of clients that do not read are left
-            // open.
-            drained.await(timeoutMs, TimeUnit.MILLISECONDS);
+            drained.await(MAX_SHUTDOWN_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
+++ b/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
@@ -121,7 +121,7 @@
                 new ConfigurationReloader.Targets(
                         dispatcher, listeners, discovery, discovery == null && control == null, sink));
         GracefulShutdown shutdown =
-                new GracefulShutdown(loop, log, context.lifecycle(), listeners, dispatcher, siblingLock);
+                new GracefulShutdown(loop, clock, log, context.lifecycle(), listeners, dispatcher, siblingLock);
         AdminServer adminServer = new AdminServer(
                 loop,
                 Sockets.BUFFER_ALLOCATOR,
--- a/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
+++ b/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
@@ -211,7 +211,7 @@
                 return;
             }
             responses.concludeStreaming(request);
-            request.startStreaming(attempt);
+            request.startStreaming(new StreamedResponse(attempt, body));
             progress.watchResponse(attempt, body, () -> cancelStalledResponse(body));
             events.add(
                     request,
--- a/edge/src/main/java/lemonrail/exchange/PendingRequest.java
+++ b/edge/src/main/java/lemonrail/exchange/PendingRequest.java
@@ -21,6 +21,7 @@
     private final M message;
     private final ResponseSink<A> sink;
     private final List<PendingAttempt> attempts = new ArrayList<>(INITIAL_ATTEMPT_CAPACITY);
+    private final double receivedMs;
     private final double clientTimeoutMs;
     private final double maxQueueDelayMs;
 
@@ -30,8 +31,8 @@
     private Future<?> decisionTimeout;
     /** Null until the request is concluded. */
     private RequestOutcome outcome;
-    /** The attempt whose large response is being forwarded, else null. */
-    private PendingAttempt streamingAttempt;
+    /** The large response that is being forwarded, else null. */
+    private StreamedResponse streamedResponse;
 
     private boolean balancerFailed;
     private int inFlightAttempts;
@@ -48,6 +49,7 @@
         this.message = message;
         this.sink = sink;
         this.maxQueueDelayMs = maxQueueDelayMs;
+        receivedMs = nowMs;
         clientTimeoutMs = request.deadlineMs() - nowMs;
         deadlineMs = request.deadlineMs();
         bodyState = message.isBodyArriving() ? RequestBodyState.AWAITED : RequestBodyState.COMPLETE;
@@ -85,6 +87,11 @@
         this.bodyState = bodyState;
     }
 
+    /** Returns when the request was read; for a large request, when the first part of its body was read. */
+    double receivedMs() {
+        return receivedMs;
+    }
+
     /** Returns how long the client waits, measured from the time at which the request was read. */
     double clientTimeoutMs() {
         return clientTimeoutMs;
@@ -168,22 +175,23 @@
         return inFlightAttempts > 0;
     }
 
-    PendingAttempt streamingAttempt() {
-        return streamingAttempt;
+    /** Returns the large response that is being forwarded, or null. */
+    StreamedResponse streamedResponse() {
+        return streamedResponse;
     }
 
     boolean isStreaming() {
-        return streamingAttempt != null;
+        return streamedResponse != null;
     }
 
-    void startStreaming(PendingAttempt attempt) {
-        streamingAttempt = attempt;
+    void startStreaming(StreamedResponse response) {
+        streamedResponse = response;
     }
 
     /** Ends streaming if it is this attempt whose response is being forwarded. */
     void stopStreaming(PendingAttempt attempt) {
-        if (streamingAttempt == attempt) {
-            streamingAttempt = null;
+        if (streamedResponse != null && streamedResponse.attempt() == attempt) {
+            streamedResponse = null;
         }
     }
 }
--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Objects;
 import lemonrail.core.balancer.AttemptOutcome;
 import lemonrail.core.balancer.BalancerSettings;
 import lemonrail.core.balancer.Endpoint;
@@ -178,7 +179,7 @@
     public void onClientDisconnected(String id) {
         PendingRequest<M, A> request = requests.find(id);
         if (request != null && request.isStreaming()) {
-            attempts.cancel(request, request.streamingAttempt(), AttemptOutcome.CANCELED);
+            attempts.cancel(request, request.streamedResponse().attempt(), AttemptOutcome.CANCELED);
         } else if (request != null && !request.isConcluded()) {
             responses.concludeDisconnected(request);
             releaseFromBalancer(request);
@@ -186,19 +187,40 @@
     }
 
     /**
-     * Abandons all requests because the process is ending. Each client gets an error response, or has its streamed
-     * response cut off.
+     * Abandons all requests without a final response because the process is ending: their clients get an error
+     * response. Responses that are being forwarded continue.
      */
-    public void abandonAll() {
+    public void abandonUndecided() {
         for (PendingRequest<M, A> request : requests.snapshot()) {
-            if (request.isStreaming()) {
-                attempts.cancel(request, request.streamingAttempt(), AttemptOutcome.CANCELED);
-            } else if (!request.isConcluded()) {
+            if (!request.isConcluded()) {
                 abandon(request);
             }
         }
     }
 
+    /** Notes how far each response has been forwarded, for {@link #cancelStalledResponses}. */
+    public void markResponseProgress() {
+        requests.all().stream()
+                .map(PendingRequest::streamedResponse)
+                .filter(Objects::nonNull)
+                .forEach(StreamedResponse::markProgress);
+    }
+
+    /**
+     * Truncates responses of which nothing has been forwarded since {@link #markResponseProgress}.
+     *
+     * @param receivedFromMs requests received earlier are left out, in milliseconds of the event loop's clock
+     */
+    public void cancelStalledResponses(double receivedFromMs) {
+        for (PendingRequest<M, A> request : requests.snapshot()) {
+            if (request.isStreaming()
+                    && request.receivedMs() >= receivedFromMs
+                    && request.streamedResponse().isStalledSinceMark()) {
+                attempts.cancel(request, request.streamedResponse().attempt(), AttemptOutcome.CANCELED);
+            }
+        }
+    }
+
     private void startDecisionTimeout(PendingRequest<M, A> request) {
         deadlines.startDecisionTimeout(request, () -> onDecisionTimeout(request));
     }
