No attempt of a large request begins after its client has gone behind an unread body

Until an attempt takes a body, BodyPipe stops the reading of the client at 32 KiB, and the close is behind the rest.

Change: while no attempt has taken it, a body is read on up to 256 KiB, as long as half of the budget for bodies is free, so that the close is found and the request dropped.

--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -50,6 +50,11 @@
     private static final BodyComplete BODY_COMPLETE = new BodyComplete();
     /** The size up to which bodies are buffered even if the buffer budget is exhausted. */
     private static final int ALWAYS_BUFFERED_BYTES = 8 * 1024;
+    /**
+     * How much of a large body is read ahead while no attempt sends it, so that a disconnect behind it is noticed
+     * before an attempt begins.
+     */
+    private static final int READ_AHEAD_BYTES = 256 * 1024;
 
     private final BufferBudget budget;
     private final BodyPipe.Source bodySource;
@@ -163,7 +168,7 @@
 
     /** Passes on a request whose body is too large to be buffered; the rest of the body follows through the pipe. */
     private void startStreaming(ChannelHandlerContext ctx) {
-        remainingBody = new BodyPipe(budget, bodySource);
+        remainingBody = new BodyPipe(budget, READ_AHEAD_BYTES, bodySource);
         ctx.fireChannelRead(new IncomingRequest(head, takeBody(), remainingBody));
     }
 
--- a/edge/src/main/java/lemonrail/streaming/BodyPipe.java
+++ b/edge/src/main/java/lemonrail/streaming/BodyPipe.java
@@ -6,8 +6,9 @@
 /**
  * Forwards a body from one connection to another, with backpressure: it buffers a small window of bytes, and stops
  * reading its source while the window is full or the shared {@link BufferBudget} is used up, unless the pipe holds no
- * bytes. Bytes count towards the budget until {@link #onWritten} is called for them, so those in a connection's write
- * buffer count as well. Used on the event loop only.
+ * bytes. Until the pipe has a consumer, the window can be larger, because the disconnect of a source is detected only
+ * behind the bytes that precede it. Bytes count towards the budget until {@link #onWritten} is called for them, so
+ * those in a connection's write buffer count as well. Used on the event loop only.
  */
 public final class BodyPipe {
 
@@ -31,6 +32,7 @@
     }
 
     private final BufferBudget budget;
+    private final int unclaimedWindowBytes;
     private final Source source;
     private final Runnable onCapacity = this::updateReading;
     private Consumer consumer;
@@ -44,7 +46,18 @@
 
     /** Creates a pipe without a consumer. Until it has one, the pipe buffers up to a window of bytes. */
     public BodyPipe(BufferBudget budget, Source source) {
+        this(budget, WINDOW_BYTES, source);
+    }
+
+    /**
+     * Creates a pipe without a consumer.
+     *
+     * @param unclaimedWindowBytes the window until the pipe has a consumer, in bytes, as long as half of the budget is
+     *     free
+     */
+    public BodyPipe(BufferBudget budget, int unclaimedWindowBytes, Source source) {
         this.budget = budget;
+        this.unclaimedWindowBytes = unclaimedWindowBytes;
         this.source = source;
     }
 
@@ -125,7 +138,7 @@
         if (closed || complete) {
             return;
         }
-        boolean windowOpen = unwrittenBytes < WINDOW_BYTES;
+        boolean windowOpen = unwrittenBytes < windowBytes();
         boolean mayRead = unwrittenBytes == 0 || (windowOpen && budget.hasCapacity());
         if (!mayRead && windowOpen) {
             budget.notifyWhenAvailable(onCapacity);
@@ -133,6 +146,10 @@
         source.setReading(mayRead);
     }
 
+    private int windowBytes() {
+        return consumer == null && budget.isHalfFree() ? unclaimedWindowBytes : WINDOW_BYTES;
+    }
+
     /** Returns how many bytes have been forwarded; the value shows whether the transfer makes progress. */
     public long forwardedBytes() {
         return forwardedBytes;
--- a/edge/src/main/java/lemonrail/streaming/BufferBudget.java
+++ b/edge/src/main/java/lemonrail/streaming/BufferBudget.java
@@ -40,6 +40,11 @@
         return bufferedBytes < maxBytes;
     }
 
+    /** Returns whether at most half of the budget is used. */
+    boolean isHalfFree() {
+        return bufferedBytes <= maxBytes / 2;
+    }
+
     /** Runs a task once, as soon as there is capacity. A task that is already waiting is not added again. */
     void notifyWhenAvailable(Runnable onCapacity) {
         waitingTasks.add(onCapacity);
--- a/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
@@ -24,6 +24,8 @@
     private static final double MAX_DETECTION_MS = DEADLINE_MS / 2.0;
 
     private static final int CLIENTS = 3;
+    /** More than the sidecar forwards of a body before an attempt takes it. */
+    private static final int LARGE_BODY_BYTES = 200_000;
     /** More than the balancer admits at once, so that some are rejected before they disconnect. */
     private static final int MANY_CLIENTS = 40;
     /**
@@ -94,7 +96,34 @@
         }
     }
 
-    /** Like the test above, with more clients at once than the balancer admits. */
+    /** Like the test above, with large requests: their disconnect is behind the part of the body that waits. */
+    @ParameterizedTest
+    @CsvSource({"true,true", "true,false", "false,true", "false,false"})
+    void largeRequestAwaitingItsConnectionIsNotSent(boolean cancels, boolean byReset) throws Exception {
+        try (LateStubEndpoint late = new LateStubEndpoint()) {
+            fixture = new SidecarFixture();
+            fixture.cancel = cancels;
+            fixture.configChange = config -> config.replace(
+                    "\"servers\":[]",
+                    "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
+            fixture.start();
+            HttpTestConnection client = fixture.client();
+            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
+                    + LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BODY_BYTES));
+            SidecarFixture.await("the attempt waits for its connection", () -> fixture.openRequests() == 1);
+            disconnect(client, byReset);
+            awaitDisconnectsNoticed();
+            late.release();
+            SidecarFixture.await("no request is open any more", () -> fixture.openRequests() == 0);
+            assertEquals(
+                    "late",
+                    fixture.sendRequest("order", DEADLINE_MS).body(),
+                    "the endpoint accepts connections from now on");
+            assertEquals(1, late.requestCount.get(), "only the request of the connected client is sent");
+        }
+    }
+
+    /** Like the tests above, with more clients at once than the balancer admits. */
     @ParameterizedTest
     @CsvSource({"true,true", "true,false", "false,true", "false,false"})
     void noAttemptIsSentWhenManyClientsDisconnect(boolean cancels, boolean byReset) throws Exception {
