The upload of a client connection has a class of its own

Change: ClientUpload holds the response, whether reading is paused, and what the dispatcher is notified of. No behaviour is changed.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -30,6 +30,7 @@
     private final ClientTimeoutHandler timeouts;
     private final RequestReader requestReader;
     private final ResponseQueue responses;
+    private final ClientUpload upload;
     /**
      * Whether the connection was accepted above the maximum number of connections. Its requests are rejected while the
      * maximum is exceeded.
@@ -41,10 +42,6 @@
     private double lastResponseMs;
     /** Null until the channel is active. */
     private ArrivalClock arrivalClock;
-    /** The response to a streamed request that has been passed on and whose body is still being read, or null. */
-    private PendingResponse uploadResponse;
-    /** Whether reading the body is paused because the endpoint currently accepts no more of it. */
-    private boolean uploadPaused;
 
     private boolean continuePending;
 
@@ -54,6 +51,7 @@
         timeouts = new ClientTimeoutHandler(channel, server.clock());
         requestReader = new RequestReader(server.budget(), this::onUploadReadingChanged);
         responses = new ResponseQueue(channel, this);
+        upload = new ClientUpload(server.dispatcher());
         lastResponseMs = server.clock().now();
     }
 
@@ -179,7 +177,7 @@
     private void onRequest(IncomingRequest request) {
         PendingResponse response = addPendingResponse();
         if (request.isStreamed()) {
-            uploadResponse = response;
+            upload.start(response);
         } else {
             timeouts.onRequestRead();
         }
@@ -200,56 +198,36 @@
     }
 
     private void onRequestError(RequestError error) {
-        if (uploadResponse == null) {
-            PendingResponse response = addPendingResponse();
-            timeouts.onRequestRead();
-            updateReading();
-            response.respondAndStopReading(error);
+        if (upload.isActive()) {
+            upload.fail(error);
             return;
         }
-        // The body of a request that is already in flight cannot be read to its end.
-        String requestId = uploadResponse.inFlightRequestId();
-        if (requestId != null) {
-            PendingResponse truncated = uploadResponse;
-            server.dispatcher().onClientDisconnected(requestId);
-            truncated.respondAndStopReading(error);
-        }
+        PendingResponse response = addPendingResponse();
+        timeouts.onRequestRead();
+        updateReading();
+        response.respondAndStopReading(error);
     }
 
     private void onUploadComplete() {
-        PendingResponse response = uploadResponse;
-        uploadResponse = null;
-        uploadPaused = false;
         timeouts.onRequestRead();
+        upload.complete();
         updateReading();
-        response.onRequestRead();
-        if (response.inFlightRequestId() != null) {
-            server.dispatcher().onRequestBodyReceived(response.inFlightRequestId());
-        }
     }
 
     private void onUploadReadingChanged(boolean reading) {
-        boolean pausedNow = !reading && !uploadPaused;
-        uploadPaused = !reading;
         timeouts.onBodyReadingChanged(reading);
+        upload.setReading(reading);
         updateReading();
-        if (pausedNow && hasUploadInFlight()) {
-            server.dispatcher().onRequestBodyPaused(uploadResponse.inFlightRequestId());
-        }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!uploadPaused && hasUploadInFlight() && !channel.hasUnreadBytes()) {
-            server.dispatcher().onRequestBodyCaughtUp(uploadResponse.inFlightRequestId());
+        if (upload.isActive() && !upload.isPaused() && !channel.hasUnreadBytes()) {
+            upload.onInputDrained();
         }
         ctx.fireChannelReadComplete();
     }
 
-    private boolean hasUploadInFlight() {
-        return uploadResponse != null && uploadResponse.inFlightRequestId() != null;
-    }
-
     /** Returns whether requests must be rejected because the maximum number of connections is exceeded. */
     boolean isOverLimit() {
         return acceptedOverLimit && server.connections().excess() > 0;
@@ -281,7 +259,7 @@
     }
 
     private boolean hasRoomForInput() {
-        return !uploadPaused && (channel.isWritable() || uploadResponse != null);
+        return !upload.isPaused() && (channel.isWritable() || upload.isActive());
     }
 
     @Override
@@ -306,13 +284,13 @@
     @Override
     public boolean isLast(PendingResponse response) {
         // The connection must close, because otherwise the client would go on sending a body that is no longer needed.
-        boolean uploadUnneeded = uploadResponse == response;
+        boolean uploadUnneeded = upload.belongsTo(response);
         return uploadUnneeded || response.isLast() || (server.closesAfterResponse(this) && responses.size() == 1);
     }
 
     @Override
     public void onWriting(PendingResponse response) {
-        if (uploadResponse == response) {
+        if (upload.belongsTo(response)) {
             timeouts.allowRestOfBody();
         }
     }
