The body of the eighth pipelined request is forwarded at once

What callers saw: a large request behind seven unanswered ones on its connection stood still until an earlier response was out, with no time limit, or got 429 once 16 KiB of its body had come.

Cause: with eight responses pending, ClientTimeoutHandler buffers all further input, and the rest of the eighth's own body is such input.

Change: input is not buffered while it belongs to a body that is being forwarded; the pipe bounds it.

Test: PipelinedRequestsTest.bodyOfTheEighthRequestIsForwarded; before, the body had not come to the endpoint after 8 s.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -250,7 +250,7 @@
      * input cannot be buffered, forwarded or discarded.
      */
     private void updateReading() {
-        timeouts.setBuffering(responses.size() >= MAX_PIPELINED_REQUESTS);
+        timeouts.setBuffering(responses.size() >= MAX_PIPELINED_REQUESTS && !upload.isActive());
         channel.config().setAutoRead(!timeouts.isThrottled() && (isDiscarding() || hasRoomForInput()));
     }
 
--- /dev/null
+++ b/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
@@ -0,0 +1,66 @@
+package lemonrail.assembly;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests that a client sends before it has the responses to its earlier ones. */
+@Timeout(60)
+class PipelinedRequestsTest {
+
+    private static final int DEADLINE_MS = 8000;
+    private static final int SHORT_DEADLINE_MS = 1000;
+    /** How much later than the deadline a final response may come. */
+    private static final int LATE_RESPONSE_SLACK_MS = 550;
+    /** How long the input behind eight requests waits; with the deadline after it, a response would be too late. */
+    private static final int INPUT_WAIT_MS = 900;
+
+    private static final int LARGE_BODY_BYTES = 200_000;
+    private static final String UNKNOWN_PATH = "GET /other HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private final CountDownLatch firstReleased = new CountDownLatch(1);
+    private final CountDownLatch uploadReceived = new CountDownLatch(1);
+    private SidecarFixture fixture;
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+    }
+
+    /** The first request of a test waits, orders are served, and other requests get no response. */
+    private void respond(HttpTestConnection connection, HttpTestConnection.Message request) throws Exception {
+        if (request.headers().get("x-class").equals("order")) {
+            uploadReceived.countDown();
+            StubEndpoint.respond(connection, 200, "", "read " + request.bytes().length);
+        } else if (request.headers().get("x-request-id").equals("r0")) {
+            firstReleased.await();
+            StubEndpoint.respond(connection, 200, "", "first");
+        } else {
+            connection.awaitEnd();
+        }
+    }
+
+    /** Guards against a large request whose body is held back, as the eighth, until an earlier response is written. */
+    @Test
+    void bodyOfTheEighthRequestIsForwarded() throws Exception {
+        fixture = new SidecarFixture(new StubEndpoint(this::respond)).start();
+        try (HttpTestConnection client = fixture.client()) {
+            client.send(fixture.request("read", DEADLINE_MS) + UNKNOWN_PATH.repeat(6));
+            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
+                    + LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BODY_BYTES));
+            assertTrue(uploadReceived.await(DEADLINE_MS, TimeUnit.MILLISECONDS), "the body is forwarded");
+            firstReleased.countDown();
+            assertEquals("first", client.read().body());
+            for (int i = 0; i < 6; i++) {
+                assertEquals(404, client.read().status());
+            }
+            assertEquals("read " + LARGE_BODY_BYTES, client.read().body());
+        }
+    }
+}
