A request that waits behind eight others counts its time from its arrival

What callers saw: a ninth request on a connection, sent while eight were unanswered, got its final response later than its deadline by as much as the first of these took: 1,890 ms with a deadline of 1,000, where 1,550 are allowed.

Cause: ClientTimeoutHandler buffers such input, and ArrivalClock takes the moment at which it is passed on for its arrival.

Change: the handler notes when the first buffered byte can have arrived, and requests in buffered input count from there.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -240,7 +240,8 @@
 
     /** Returns the request to pass to the load balancer. */
     Request toRequest(RequestHead head) {
-        return head.toRequest(arrivalClock.arrivedAtMs(), server.latestDeadlineMs());
+        double arrivedAtMs = Math.min(arrivalClock.arrivedAtMs(), timeouts.inputArrivedAtMs());
+        return head.toRequest(arrivedAtMs, server.latestDeadlineMs());
     }
 
     // ---- reading ----
--- a/edge/src/main/java/lemonrail/http1/ClientTimeoutHandler.java
+++ b/edge/src/main/java/lemonrail/http1/ClientTimeoutHandler.java
@@ -62,6 +62,10 @@
     private InputState inputState = InputState.FORWARDED;
     /** The buffered input, or null. */
     private ByteBuf bufferedInput;
+    /** The earliest time at which the first byte of the buffered input can have arrived. */
+    private double bufferedSinceMs;
+    /** The value of {@link #bufferedSinceMs} while buffered input is passed on; infinite at all other times. */
+    private double inputArrivedAtMs = Double.POSITIVE_INFINITY;
     /** Whether the current timeout has already been extended. */
     private boolean graceUsed;
 
@@ -144,6 +148,7 @@
     private void buffer(ChannelHandlerContext ctx, ByteBuf input) {
         if (bufferedInput == null) {
             bufferedInput = Unpooled.buffer(input.readableBytes(), Integer.MAX_VALUE);
+            bufferedSinceMs = clock.now() - clock.maxQueueDelayMs();
         }
         bufferedInput.writeBytes(input);
         input.release();
@@ -176,7 +181,9 @@
             ByteBuf input = bufferedInput;
             bufferedInput = null;
             ChannelHandlerContext ctx = channel.pipeline().context(this);
+            inputArrivedAtMs = bufferedSinceMs;
             forward(ctx, input);
+            inputArrivedAtMs = Double.POSITIVE_INFINITY;
             ctx.fireChannelReadComplete();
         }
     }
@@ -282,6 +289,14 @@
         return lastReadMs;
     }
 
+    /**
+     * Returns the earliest time at which the input that is being passed on can have arrived if it has been buffered, or
+     * infinity.
+     */
+    double inputArrivedAtMs() {
+        return inputArrivedAtMs;
+    }
+
     /** Returns whether part of a request has been read. */
     boolean isReceiving() {
         return requestState == RequestState.RECEIVING;
--- a/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
@@ -63,4 +63,26 @@
             assertEquals("read " + LARGE_BODY_BYTES, client.read().body());
         }
     }
+
+    /** Guards against a deadline that counts only from when the sidecar looks at input that it has buffered. */
+    @Test
+    void deadlineOfABufferedRequestCountsFromItsArrival() throws Exception {
+        fixture = new SidecarFixture(new StubEndpoint(this::respond)).start();
+        try (HttpTestConnection client = fixture.client()) {
+            client.send(fixture.request("read", DEADLINE_MS) + UNKNOWN_PATH.repeat(7));
+            fixture.awaitReusableConnections();
+            client.send(fixture.request("read", SHORT_DEADLINE_MS));
+            long sentNs = System.nanoTime();
+            TimeUnit.MILLISECONDS.sleep(INPUT_WAIT_MS);
+            firstReleased.countDown();
+            assertEquals("first", client.read().body());
+            for (int i = 0; i < 7; i++) {
+                assertEquals(404, client.read().status());
+            }
+            int status = client.read().status();
+            long respondedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
+            assertTrue(status == 502 || status == 503, "status " + status);
+            assertTrue(respondedMs <= SHORT_DEADLINE_MS + LATE_RESPONSE_SLACK_MS, "after " + respondedMs + " ms");
+        }
+    }
 }
