An attempt of a large request tells its endpoint the time that is left when it is written

What callers saw: where a connection came up late, the endpoint of a large request was told the time-out as it was before the dial, which may be more than the client has left by over the 0.15 s of slack.

Cause: UpstreamConnection.sendStreamed took the attempt's whole time-out, where small requests take what remains of it.

Change: both take what remains; the accessor that nobody else used is gone.

--- a/edge/src/main/java/lemonrail/http1/UpstreamAttempt.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamAttempt.java
@@ -15,7 +15,6 @@
     private static final double MIN_REMAINING_MS = 1;
 
     private final RequestMessage request;
-    private final double timeoutMs;
     private final double deadlineMs;
     private final Clock clock;
     /** Null after the outcome has been reported or the attempt has been cancelled. */
@@ -40,7 +39,6 @@
             Clock clock,
             Upstream.AttemptListener<UpstreamResponse> listener) {
         this.request = request;
-        this.timeoutMs = timeoutMs;
         this.clock = clock;
         this.listener = listener;
         deadlineMs = clock.now() + timeoutMs;
@@ -50,11 +48,6 @@
         return request;
     }
 
-    /** Returns the attempt timeout in milliseconds, measured from the creation of the attempt. */
-    double timeoutMs() {
-        return timeoutMs;
-    }
-
     /**
      * Returns the time left until the end of the attempt timeout, in milliseconds. Connecting may have used part of the
      * timeout.
--- a/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
@@ -110,7 +110,7 @@
     }
 
     private void sendStreamed(UpstreamAttempt currentAttempt, RequestMessage request) {
-        channel.write(request.toHead(currentAttempt.timeoutMs()));
+        channel.write(request.toHead(currentAttempt.remainingMs()));
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(request.body())));
         // An overloaded endpoint may reject a large request before the complete body has been sent.
         reader.expectResponse();
--- a/edge/src/test/java/lemonrail/assembly/EventLoopStallTest.java
+++ b/edge/src/test/java/lemonrail/assembly/EventLoopStallTest.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The final response arrives before the deadline, measured at the client, also if no endpoint responds, if the event
@@ -200,8 +202,9 @@
     }
 
     /** Guards against a deadline sent to an endpoint that includes the time spent on connecting. */
-    @Test
-    void attemptDeadlineExcludesConnectTime() throws Exception {
+    @ParameterizedTest
+    @ValueSource(ints = {0, 200_000})
+    void attemptDeadlineExcludesConnectTime(int bodyBytes) throws Exception {
         try (LateStubEndpoint late = new LateStubEndpoint();
                 SidecarFixture fixture = new SidecarFixture()) {
             fixture.configChange = config -> config.replace(
@@ -209,7 +212,9 @@
                     "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
             fixture.start();
             try (HttpTestConnection connection = fixture.client()) {
-                connection.send(fixture.request("read", STALLED_CLIENT_TIMEOUT_MS));
+                connection.send(
+                        fixture.request("order", STALLED_CLIENT_TIMEOUT_MS).split("Content-Length")[0]
+                                + "Content-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes));
                 SidecarFixture.await("an attempt waits for its connection", () -> fixture.openRequests() == 1);
                 late.release();
                 assertEquals(200, connection.read().status());
