A shutdown doesn't close connections on which part of a request has been read

What callers saw: a request of which the first half came before 2.7 s after SIGTERM and the rest after it lost its connection without an answer.

Cause: HttpServer.closeAfterResponses looked at pending responses and unread bytes, not at what has been read of a request. A drain by hand does.

Change: both use ClientConnection.isUnused. Such a connection closes after its response, or when the time for the request is over.

Test: ShutdownResponseTest.requestThatArrivesInPiecesDuringTheShutdownIsServed failed before (end of the connection), passes now, with DrainTest, ReloadTest, UpgradeTest, StreamingTest, ClientLimitsTest, UploadDeadlineTest and PipelinedRequestsTest.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -91,20 +91,14 @@
         return hasDispatched;
     }
 
-    /** Returns whether no response is pending, and the connection is not closing. */
-    boolean hasNoPendingResponse() {
-        return responses.isDrained() && !isClosing();
+    /** Returns whether no response is pending, and no request is being received or waiting to be read. */
+    boolean isUnused() {
+        return responses.isDrained() && !isClosing() && !timeouts.isReceiving() && !channel.hasUnreadBytes();
     }
 
-    /**
-     * Returns whether no response has been pending since this time, and no request is being received or waiting to be
-     * read.
-     */
+    /** Returns whether the connection is unused, and no response has been pending since this time. */
     boolean isUnusedSince(double timeMs) {
-        return hasNoPendingResponse()
-                && lastResponseMs <= timeMs
-                && !timeouts.isReceiving()
-                && !channel.hasUnreadBytes();
+        return isUnused() && lastResponseMs <= timeMs;
     }
 
     /** Returns whether the connection is idle, and no part of a request has been read. */
@@ -132,11 +126,6 @@
         return Math.max(lastResponseMs, timeouts.lastReadMs()) <= timeMs;
     }
 
-    /** Returns whether bytes have arrived that have not been read yet. */
-    boolean hasUnreadBytes() {
-        return channel.hasUnreadBytes();
-    }
-
     // ---- requests ----
 
     @Override
--- a/edge/src/main/java/lemonrail/http1/HttpServer.java
+++ b/edge/src/main/java/lemonrail/http1/HttpServer.java
@@ -132,7 +132,7 @@
     @Override
     public void closeAfterResponses() {
         closingConnections = true;
-        closeConnections(connection -> connection.hasNoPendingResponse() && !connection.hasUnreadBytes());
+        closeConnections(ClientConnection::isUnused);
     }
 
     /**
--- a/edge/src/test/java/lemonrail/assembly/ShutdownResponseTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ShutdownResponseTest.java
@@ -20,6 +20,8 @@
     private static final int DEADLINE_MS = 5000;
     /** The earliest time at which SIGKILL can follow SIGTERM, with deadlines of 3 s and more. */
     private static final int EARLIEST_SIGKILL_MS = 3700;
+    /** When the sidecar closes idle connections, after SIGTERM. */
+    private static final int CLOSE_CONNECTIONS_MS = 2700;
     /** Requests that arrive this long after SIGTERM must have ended before SIGKILL. */
     private static final int LATE_REQUEST_MS = 1000;
 
@@ -82,6 +84,23 @@
         shutdown.join();
     }
 
+    /** Guards against a shutdown that closes a connection on which part of a request has been read. */
+    @Test
+    void requestThatArrivesInPiecesDuringTheShutdownIsServed() throws Exception {
+        start((connection, request) -> StubEndpoint.respond(connection, 200, "", "served"));
+        try (HttpTestConnection client = fixture.client()) {
+            client.send(fixture.request("read", DEADLINE_MS)).read();
+            String request = fixture.request("read", DEADLINE_MS);
+            startShutdown();
+            sleepUntil(CLOSE_CONNECTIONS_MS - PIECE_INTERVAL_MS);
+            client.send(request.substring(0, request.length() / 2));
+            sleepUntil(CLOSE_CONNECTIONS_MS + PIECE_INTERVAL_MS);
+            client.send(request.substring(request.length() / 2));
+            assertEquals("served", client.read().body());
+        }
+        shutdown.join();
+    }
+
     /**
      * Guards against a stalled response that SIGKILL finds unfinished although its request came long after SIGTERM: it
      * is truncated in time, which its client can detect.
