Tests of slow and of leaving clients set up their endpoints in one place

Need: an endless response and an endpoint that accepts no connection were set up two and three times, letter by letter.

Change: startEndlessStream and startWith.

--- a/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
@@ -65,17 +65,22 @@
         assertTrue((System.nanoTime() - disconnectNs) / 1e6 < MAX_DETECTION_MS, "noticed long before the deadlines");
     }
 
+    /** Starts a sidecar whose only endpoint accepts no connection yet. */
+    private void startWith(LateStubEndpoint late, boolean cancels) throws IOException {
+        fixture = new SidecarFixture();
+        fixture.cancel = cancels;
+        fixture.configChange = config -> config.replace(
+                "\"servers\":[]",
+                "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
+        fixture.start();
+    }
+
     /** Guards against attempts whose connection is established after the client has disconnected. */
     @ParameterizedTest
     @CsvSource({"true,true", "true,false", "false,true", "false,false"})
     void attemptAwaitingItsConnectionIsNotSent(boolean cancels, boolean byReset) throws Exception {
         try (LateStubEndpoint late = new LateStubEndpoint()) {
-            fixture = new SidecarFixture();
-            fixture.cancel = cancels;
-            fixture.configChange = config -> config.replace(
-                    "\"servers\":[]",
-                    "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
-            fixture.start();
+            startWith(late, cancels);
             List<HttpTestConnection> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 clients.add(fixture.client().send(fixture.request("order", DEADLINE_MS)));
@@ -101,12 +106,7 @@
     @CsvSource({"true,true", "true,false", "false,true", "false,false"})
     void largeRequestAwaitingItsConnectionIsNotSent(boolean cancels, boolean byReset) throws Exception {
         try (LateStubEndpoint late = new LateStubEndpoint()) {
-            fixture = new SidecarFixture();
-            fixture.cancel = cancels;
-            fixture.configChange = config -> config.replace(
-                    "\"servers\":[]",
-                    "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
-            fixture.start();
+            startWith(late, cancels);
             HttpTestConnection client = fixture.client();
             client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
                     + LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BODY_BYTES));
@@ -128,12 +128,7 @@
     @CsvSource({"true,true", "true,false", "false,true", "false,false"})
     void noAttemptIsSentWhenManyClientsDisconnect(boolean cancels, boolean byReset) throws Exception {
         try (LateStubEndpoint late = new LateStubEndpoint()) {
-            fixture = new SidecarFixture();
-            fixture.cancel = cancels;
-            fixture.configChange = config -> config.replace(
-                    "\"servers\":[]",
-                    "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
-            fixture.start();
+            startWith(late, cancels);
             List<HttpTestConnection> clients = new ArrayList<>();
             for (int i = 0; i < MANY_CLIENTS; i++) {
                 clients.add(fixture.client().send(fixture.request("read", DEADLINE_MS)));
--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -192,9 +192,8 @@
 
     // ---- truncated responses ----
 
-    /** Guards against a response that a client does not read being kept for up to twice the stall time-out. */
-    @Test
-    void unreadStreamIsGivenUpAtTheStallTimeout() throws Exception {
+    /** Starts a sidecar and a response without an end; returns its client, which has read the head only. */
+    private HttpTestConnection startEndlessStream() throws IOException {
         fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
                     connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     while (true) {
@@ -203,9 +202,16 @@
                 }))
                 .start();
         HttpTestConnection client = slowClient();
-        long startNs = System.nanoTime();
         client.send(fixture.request("read", DEADLINE_MS));
         assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        return client;
+    }
+
+    /** Guards against a response that a client does not read being kept for up to twice the stall time-out. */
+    @Test
+    void unreadStreamIsGivenUpAtTheStallTimeout() throws Exception {
+        HttpTestConnection client = startEndlessStream();
+        long startNs = System.nanoTime();
         SidecarFixture.await(
                 "the attempt is cancelled", () -> fixture.endpoints.get(0).open.get() == 0);
         long endedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
@@ -216,16 +222,7 @@
     /** Guards against a shutdown that truncates a streamed response within a chunk. */
     @Test
     void stopTruncatesBetweenChunks() throws Exception {
-        fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
-                    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                    while (true) {
-                        connection.send("4000\r\n" + "x".repeat(0x4000) + "\r\n");
-                    }
-                }))
-                .start();
-        HttpTestConnection client = slowClient();
-        client.send(fixture.request("read", DEADLINE_MS));
-        assertEquals("chunked", client.readHead().headers().get("transfer-encoding"));
+        HttpTestConnection client = startEndlessStream();
         Thread stop = new Thread(fixture.sidecar::shutdownGracefully);
         stop.start();
         SidecarFixture.await(
