A response is cut off after 16 s without a byte of its endpoint, not after 10 to 20

Change: the monitor counts for how long a body has been blocked by its receiver (uploads 4 s, responses 10 s) and for how long its endpoint has given nothing (16 s), by checks every 0.5 and 1 s. 16 s lie within the span of before, cover the hang that was seen, and stay below what the test's client waits.

Tests: SlowClientsTest.streamContinuesAfterAPauseOfItsEndpoint (9 s of bytes, 12 s of silence) failed before with the end of the connection after 20.4 s, passes now; stalledStreamIsTruncatedBetweenChunks, unchanged, ends after 17.0 s. SlowClientsTest and UploadDeadlineTest pass.

--- a/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
+++ b/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
@@ -5,14 +5,16 @@
 
 /**
  * Detects large bodies whose transfer has stalled. While a body is monitored, the periodic check replaces the timeout
- * of the attempt.
+ * of the attempt. Each time limit is met to within one interval between checks.
  */
 final class StreamProgressMonitor {
 
+    private static final int UPLOAD_CHECK_INTERVAL_MS = 500;
     private static final int UPLOAD_STALL_MS = 4000;
+    private static final int RESPONSE_CHECK_INTERVAL_MS = 1000;
     private static final int RESPONSE_STALL_MS = 10_000;
-    /** How often progress is checked within the time after which a transfer counts as stalled. */
-    private static final int CHECKS_PER_STALL = 8;
+    /** Longer than the stall of a client, because an endpoint that hangs may go on. */
+    private static final int RESPONSE_PAUSE_MS = 16_000;
 
     private final EventLoopTimers timers;
 
@@ -25,29 +27,28 @@
      * send.
      */
     void watchUpload(PendingAttempt attempt, BodyPipe body, Runnable onStalled) {
-        Progress progress = new Progress(body);
-        scheduleCheck(attempt, UPLOAD_STALL_MS, () -> progress.update().isBlocked(), onStalled);
+        Progress progress = new Progress(body, UPLOAD_CHECK_INTERVAL_MS);
+        BooleanSupplier isStalled = () -> progress.update().blockedMs >= UPLOAD_STALL_MS;
+        scheduleCheck(attempt, UPLOAD_CHECK_INTERVAL_MS, isStalled, onStalled);
     }
 
     /**
      * Runs {@code onStalled} if the client accepts nothing for {@link #RESPONSE_STALL_MS} although there are bytes to
-     * send, or if nothing is forwarded from one to the next of the points in time that are this far apart.
+     * send, or if the endpoint sends nothing for {@link #RESPONSE_PAUSE_MS}.
      */
     void watchResponse(PendingAttempt attempt, BodyPipe body, Runnable onStalled) {
-        Progress progress = new Progress(body);
-        scheduleCheck(
-                attempt,
-                RESPONSE_STALL_MS,
-                () -> progress.update().isBlocked() || progress.hasPausedForAPeriod(),
-                onStalled);
+        Progress progress = new Progress(body, RESPONSE_CHECK_INTERVAL_MS);
+        BooleanSupplier isStalled =
+                () -> progress.update().blockedMs >= RESPONSE_STALL_MS || progress.pausedMs >= RESPONSE_PAUSE_MS;
+        scheduleCheck(attempt, RESPONSE_CHECK_INTERVAL_MS, isStalled, onStalled);
     }
 
-    private void scheduleCheck(PendingAttempt attempt, double stallMs, BooleanSupplier isStalled, Runnable onStalled) {
-        attempt.setTimeout(timers.schedule(stallMs / CHECKS_PER_STALL, () -> {
+    private void scheduleCheck(PendingAttempt attempt, int intervalMs, BooleanSupplier isStalled, Runnable onStalled) {
+        attempt.setTimeout(timers.schedule(intervalMs, () -> {
             if (isStalled.getAsBoolean()) {
                 onStalled.run();
             } else {
-                scheduleCheck(attempt, stallMs, isStalled, onStalled);
+                scheduleCheck(attempt, intervalMs, isStalled, onStalled);
             }
         }));
     }
@@ -55,39 +56,25 @@
     /** The progress of a transfer from check to check. */
     private static final class Progress {
         private final BodyPipe body;
+        private final int checkIntervalMs;
         private long forwardedBytes;
-        /** The number of consecutive checks before which the body had bytes to forward and none was forwarded. */
-        private int blockedChecks;
+        /** For how long the body has had bytes to forward and none was forwarded. */
+        private int blockedMs;
+        /** For how long the body has had no bytes to forward. */
+        private int pausedMs;
 
-        private int checksInPeriod;
-        private long periodStartBytes;
-        private boolean pausedForAPeriod;
-
-        Progress(BodyPipe body) {
+        Progress(BodyPipe body, int checkIntervalMs) {
             this.body = body;
+            this.checkIntervalMs = checkIntervalMs;
         }
 
+        /** Notes that one interval has passed. */
         Progress update() {
-            boolean blocked = body.forwardedBytes() == forwardedBytes && !body.isDrained();
-            blockedChecks = blocked ? blockedChecks + 1 : 0;
+            boolean moved = body.forwardedBytes() != forwardedBytes;
             forwardedBytes = body.forwardedBytes();
-            checksInPeriod++;
-            if (checksInPeriod == CHECKS_PER_STALL) {
-                pausedForAPeriod = forwardedBytes == periodStartBytes;
-                periodStartBytes = forwardedBytes;
-                checksInPeriod = 0;
-            }
+            blockedMs = moved || body.isDrained() ? 0 : blockedMs + checkIntervalMs;
+            pausedMs = moved || !body.isDrained() ? 0 : pausedMs + checkIntervalMs;
             return this;
         }
-
-        /** Returns whether the receiving side has accepted nothing for the time after which it has stalled. */
-        boolean isBlocked() {
-            return blockedChecks >= CHECKS_PER_STALL;
-        }
-
-        /** Returns whether nothing was forwarded in a whole period, whichever side is the cause. */
-        boolean hasPausedForAPeriod() {
-            return pausedForAPeriod;
-        }
     }
 }
