An upload asks for unread bytes only after a pause

Need: each read of a large body made a system call to see whether the socket was empty, though the answer matters only once reading has been paused.

Change: ClientUpload knows whether it is catching up after a pause, and asks only then.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -211,7 +211,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (upload.isActive() && !upload.isPaused() && !channel.hasUnreadBytes()) {
+        if (upload.isCatchingUp() && !channel.hasUnreadBytes()) {
             upload.onInputDrained();
         }
         ctx.fireChannelReadComplete();
--- a/edge/src/main/java/lemonrail/http1/ClientUpload.java
+++ b/edge/src/main/java/lemonrail/http1/ClientUpload.java
@@ -15,6 +15,8 @@
     private PendingResponse response;
     /** Whether reading the body is paused because the endpoint currently accepts no more of it. */
     private boolean paused;
+    /** Whether reading has been paused since everything that had arrived was last read. */
+    private boolean heldBack;
 
     ClientUpload(RequestDispatcher<?, ?> dispatcher) {
         this.dispatcher = dispatcher;
@@ -23,6 +25,7 @@
     /** Notes that the rest of the body of a request is being read from now on. */
     void start(PendingResponse pending) {
         response = pending;
+        heldBack = false;
     }
 
     /** Returns whether the body of a request is being read. */
@@ -43,13 +46,20 @@
     void setReading(boolean reading) {
         boolean pausedNow = !reading && !paused;
         paused = !reading;
+        heldBack |= paused;
         if (pausedNow && inFlightRequestId() != null) {
             dispatcher.onRequestBodyPaused(inFlightRequestId());
         }
     }
 
+    /** Returns whether the body is read on after a pause, and may not have caught up with what has arrived. */
+    boolean isCatchingUp() {
+        return response != null && heldBack && !paused;
+    }
+
     /** Notes that everything that has arrived on the connection has been read. */
     void onInputDrained() {
+        heldBack = false;
         if (inFlightRequestId() != null) {
             dispatcher.onRequestBodyCaughtUp(inFlightRequestId());
         }
