--- a/review/stand-ins-2/StoppedClientCase.java
+++ b/review/stand-ins-2/StoppedClientCase.java
@@ -1,12 +1,18 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 
-/** A client sends half of a body of 8 MB at full speed, then stops in the middle of its request and stays. */
+/**
+ * Thirty clients send 3 MB of a body of 8 MB at full speed, then stop in the middle of their request and stay. Another
+ * client goes on asking once a second.
+ */
 final class StoppedClientCase {
 
+    private static final int CLIENTS = 30;
     private static final int BODY_BYTES = 8_000_000;
-    private static final int SENT_BYTES = 4_000_000;
-    private static final int WATCHED_MS = 90_000;
+    private static final int SENT_BYTES = 3_000_000;
+    private static final int WATCHED_MS = 70_000;
 
     private StoppedClientCase() {}
 
@@ -22,25 +28,61 @@
             });
         }
         rig.startSidecar();
-        long connectedMs = rig.now();
-        try (Rig.Client client = rig.connect()) {
-            client.send(Rig.head("POST", "9b1f03aa5c7e2d41", "quote-issue", 6000,
-                    "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nContent-Length: " + BODY_BYTES + "\r\n"));
+        List<Rig.Client> clients = new ArrayList<>();
+        List<Long> connectedMs = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            connectedMs.add(rig.now());
+            Rig.Client client = rig.connect();
+            clients.add(client);
+            client.send(Rig.head("POST", "stopped-" + i, "quote-issue", 6000,
+                    "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f3" + (1000 + i) + "\r\nContent-Length: " + BODY_BYTES
+                            + "\r\n"));
+            sendBody(client);
+            rig.note("client " + i + " has sent " + (Rig.TROUBLE ? SENT_BYTES + " of " : "all ") + BODY_BYTES + " bytes "
+                    + (rig.now() - connectedMs.get(i)) + " ms after it connected" + (Rig.TROUBLE ? ", and stops" : ""));
+        }
+        long untilMs = rig.now() + (Rig.TROUBLE ? WATCHED_MS : 8000);
+        int asked = 0;
+        int served = 0;
+        while (rig.now() < untilMs) {
+            try (Rig.Client other = rig.connect()) {
+                other.socket.setSoTimeout(6000);
+                other.send(Rig.head("GET", "other-" + asked++, "quote-preview", 5000, ""));
+                Rig.Message answer = other.readAnswer();
+                served += answer.status == 200 ? 1 : 0;
+                rig.note("another client got " + answer.first);
+            }
+            Thread.sleep(1000);
+        }
+        int waiting = 0;
+        for (int i = 0; i < CLIENTS; i++) {
+            waiting += isWaiting(rig, clients.get(i), i) ? 1 : 0;
+        }
+        String text = waiting + " of " + CLIENTS + " clients have got neither an answer nor a close "
+                + (rig.now() - connectedMs.get(CLIENTS - 1)) + " ms after connecting; of " + asked
+                + " requests of another client " + served + " were served";
+        rig.end(waiting > 0 ? Rig.BROKEN : Rig.HELD, text);
+    }
+
+    private static void sendBody(Rig.Client client) throws IOException {
+        try {
             client.out.write(new byte[Rig.TROUBLE ? SENT_BYTES : BODY_BYTES]);
             client.out.flush();
-            rig.note("the client has sent " + (Rig.TROUBLE ? SENT_BYTES + " of " : "all ") + BODY_BYTES + " bytes after "
-                    + (rig.now() - connectedMs) + " ms" + (Rig.TROUBLE ? ", and stops" : ""));
-            client.socket.setSoTimeout(WATCHED_MS);
-            try {
-                Rig.Message answer = client.readAnswer();
-                rig.end(Rig.HELD, "the client got " + answer.first + " " + (rig.now() - connectedMs)
-                        + " ms after it connected");
-            } catch (SocketTimeoutException e) {
-                rig.end(Rig.BROKEN, "neither an answer nor a close within " + (rig.now() - connectedMs)
-                        + " ms of connecting; owed within 3000 ms");
-            } catch (IOException e) {
-                rig.end(Rig.HELD, "the connection was closed after " + (rig.now() - connectedMs) + " ms");
-            }
+        } catch (IOException e) {
+            // The sidecar has answered and closed: its answer is read below.
+        }
+    }
+
+    private static boolean isWaiting(Rig rig, Rig.Client client, int number) throws IOException {
+        client.socket.setSoTimeout(20);
+        try {
+            rig.note("client " + number + " got " + Rig.readHead(client.in).first);
+            return false;
+        } catch (SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) {
+            rig.note("client " + number + " was closed: " + e.getMessage());
+            return false;
         }
     }
 }
