--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -207,6 +207,8 @@
         int status;
         final Map<String, String> headers = new LinkedHashMap<>();
         byte[] body = new byte[0];
+        /** The connection on which it came, behind the message; set by endpoints. */
+        InputStream rest;
 
         String header(String name) {
             return headers.getOrDefault(name.toLowerCase(Locale.ROOT), "");
@@ -289,12 +291,13 @@
         volatile String state = "in_service";
         private volatile boolean vanished;
         private final List<Socket> fillers = new ArrayList<>();
+        private final Thread acceptor;
 
         Node(String id, Behaviour behaviour) throws IOException {
             this.id = id;
             this.behaviour = behaviour;
             listener = new ServerSocket(0, 4, InetAddress.getByName("127.0.0.1"));
-            daemon("endpoint " + id, () -> {
+            acceptor = daemon("endpoint " + id, () -> {
                 while (true) {
                     Socket socket = listener.accept();
                     if (vanished) {
@@ -307,19 +310,30 @@
         }
 
         /** The machine goes silent: from now on no connection comes up, because the listener's queue stays full. */
-        void vanish() throws IOException {
+        void vanish() throws IOException, InterruptedException {
             vanished = true;
-            for (int i = 0; i < 16; i++) {
-                Socket filler = new Socket();
-                fillers.add(filler);
-                try {
-                    filler.connect(listener.getLocalSocketAddress(), 200);
-                } catch (IOException e) {
-                    note("endpoint " + id + " has gone silent: new connections don't come up");
-                    return;
-                }
+            connectFiller();
+            acceptor.join(5000);
+            int refused = 0;
+            for (int i = 0; i < 24 && refused < 2; i++) {
+                refused = connectFiller() ? 0 : refused + 1;
+            }
+            if (acceptor.isAlive() || refused < 2) {
+                throw new IOException("the queue of endpoint " + id + " does not fill up");
+            }
+            note("endpoint " + id + " has gone silent: new connections don't come up");
+        }
+
+        /** Tries to take a place in the listener's queue; returns false if there is none. */
+        private boolean connectFiller() {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(listener.getLocalSocketAddress(), 300);
+                return true;
+            } catch (IOException e) {
+                return false;
             }
-            throw new IOException("the queue of endpoint " + id + " does not fill up");
         }
 
         private void serve(Socket socket) throws Exception {
@@ -332,6 +346,7 @@
                     Message request;
                     try {
                         request = readHead(in);
+                        request.rest = in;
                     } catch (IOException e) {
                         return;
                     }
