--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 here=$(CDPATH= cd -- "$(dirname -- "$0")" && pwd)
 root=$(CDPATH= cd -- "$here/../.." && pwd)
 classes=$root/review/stand-ins-2/target
-if [ ! -f "$classes/StoppedClientCase.class" ] || [ ! -f "$root/edge/target/lemonrail.jar" ]; then
+if [ ! -f "$classes/SlowReaderCase.class" ] || [ ! -f "$root/edge/target/lemonrail.jar" ]; then
     echo "run deploy/build.sh and review/build-2.sh first" >&2
     exit 2
 fi
@@ -12,7 +12,7 @@
 CASE_TEMP=$(mktemp -d) || exit 2
 export TROUBLE CASE_TEMP
 trap 'rm -rf "$CASE_TEMP"' EXIT
-timeout 118 java -Xmx256m -cp "$classes" StoppedClientCase "$here"
+timeout 118 java -Xmx256m -cp "$classes" SlowReaderCase "$here"
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
