--- a/review/stand-ins-2/StoppedClientCase.java
+++ b/review/stand-ins-2/StoppedClientCase.java
@@ -4,12 +4,12 @@
 import java.util.List;
 
 /**
- * Thirty clients send 3 MB of a body of 8 MB at full speed, then stop in the middle of their request and stay. Another
+ * Sixty clients send 3 MB of a body of 8 MB at full speed, then stop in the middle of their request and stay. Another
  * client goes on asking once a second.
  */
 final class StoppedClientCase {
 
-    private static final int CLIENTS = 30;
+    private static final int CLIENTS = 60;
     private static final int BODY_BYTES = 8_000_000;
     private static final int SENT_BYTES = 3_000_000;
     private static final int WATCHED_MS = 70_000;
