No attempt of a large request begins after its client has gone, whatever its size

Cause: a close is behind all that was sent.

Change: 2 MiB are read ahead while half of the buffer budget is free. Beyond that, no attempt starts once reading of the body has stopped for 50 ms: the request is rejected, which is safe as nothing of it can have run. BodyPipe holds its bytes in parts of 16 KiB, since one growing buffer would have kept 2 MiB for each upload, outside of the budget. Notifying the balancer of the end of a request, which the dispatcher did, is AttemptRunner.release now, as both need it.

Why it works: either everything is read up to the close, which cancels the request, or the time since the client was last known to be connected is below what is allowed.

--- a/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
+++ b/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
@@ -17,6 +17,9 @@
  */
 final class AttemptRunner<M extends ProtocolRequest, A> {
 
+    /** Stands for a rejection that does not say when the client may retry. */
+    private static final double NO_RETRY_AFTER = 0;
+
     private final EventLoopContext context;
     private final Upstream<M, A> upstream;
     private final Supplier<BalancerSettings> settings;
@@ -62,6 +65,9 @@
         double attemptTimeoutMs = timeoutMs == 0 ? remainingMs : Math.min(timeoutMs, remainingMs);
         if (request.isConcluded() || remainingMs <= 0 || hasTooManyAttempts(request)) {
             finish(request, attempt, AttemptOutcome.IGNORED);
+        } else if (mayHaveLostItsClient(request)) {
+            finish(request, attempt, AttemptOutcome.IGNORED);
+            rejectForUnreadBody(request);
         } else if (attemptTimeoutMs <= 0) {
             finish(request, attempt, AttemptOutcome.TIMED_OUT);
         } else {
@@ -69,6 +75,17 @@
         }
     }
 
+    /** Returns whether no attempt may start because its client's disconnect would not have been noticed. */
+    private boolean mayHaveLostItsClient(PendingRequest<M, A> request) {
+        return request.message().isReplayable() && deadlines.mayBeDisconnected(request);
+    }
+
+    private void rejectForUnreadBody(PendingRequest<M, A> request) {
+        log.logBodyUnread(request);
+        responses.reject(request, NO_RETRY_AFTER);
+        release(request);
+    }
+
     private boolean hasTooManyAttempts(PendingRequest<M, A> request) {
         return request.attempts().size() > settings.get().limits().maxAttempts();
     }
@@ -96,10 +113,15 @@
     }
 
     /**
-     * Cancels the attempts whose request has not been written completely. They have not been executed, and their result
-     * is no longer needed.
+     * Notifies the balancer that a request needs no further decisions, and cancels its attempts that have not been
+     * executed.
      */
-    void cancelUnwritten(PendingRequest<M, A> request) {
+    void release(PendingRequest<M, A> request) {
+        events.add(request, (balancer, nowMs) -> balancer.onRequestCancelled(nowMs, request.id()));
+        cancelUnwritten(request);
+    }
+
+    private void cancelUnwritten(PendingRequest<M, A> request) {
         endUnwritten(request, AttemptOutcome.CANCELED);
     }
 
@@ -187,6 +209,9 @@
 
         @Override
         public boolean mayStart() {
+            if (!request.isConcluded() && mayHaveLostItsClient(request)) {
+                rejectForUnreadBody(request);
+            }
             return !request.isConcluded() && attempt.mayStart(nowMs());
         }
 
--- a/edge/src/main/java/lemonrail/exchange/PendingRequest.java
+++ b/edge/src/main/java/lemonrail/exchange/PendingRequest.java
@@ -26,6 +26,9 @@
     private final double maxQueueDelayMs;
 
     private RequestBodyState bodyState;
+    /** When reading of the body stopped; meaningful while the body is held back. */
+    private double heldBackSinceMs;
+
     private double deadlineMs;
     private double retryWindowEndMs = Double.POSITIVE_INFINITY;
     private Future<?> decisionTimeout;
@@ -87,6 +90,19 @@
         this.bodyState = bodyState;
     }
 
+    /** Notes that the body is held back; a body that is already held back remains so since the earlier time. */
+    void holdBackBody(double sinceMs) {
+        if (bodyState != RequestBodyState.HELD_BACK) {
+            bodyState = RequestBodyState.HELD_BACK;
+            heldBackSinceMs = sinceMs;
+        }
+    }
+
+    /** Returns whether the body has been held back since this time or longer. */
+    boolean isHeldBackSince(double timeMs) {
+        return bodyState == RequestBodyState.HELD_BACK && heldBackSinceMs <= timeMs;
+    }
+
     /** Returns when the request was read; for a large request, when the first part of its body was read. */
     double receivedMs() {
         return receivedMs;
--- a/edge/src/main/java/lemonrail/exchange/RequestDeadlines.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDeadlines.java
@@ -27,6 +27,11 @@
      * that the retry takes to reach the endpoint.
      */
     private static final double RETRY_WINDOW_FRACTION = 0.95;
+    /**
+     * The time after reading has stopped during which a client is taken to be still connected. It is below the time
+     * that an attempt may start after a disconnect.
+     */
+    private static final double MAX_UNREAD_MS = 50;
 
     private final Clock clock;
     private final EventLoopTimers timers;
@@ -68,6 +73,19 @@
         request.setDeadlineMs(clock.now() - clock.maxQueueDelayMs() + request.clientTimeoutMs());
     }
 
+    /** Notes that reading of a request's body has stopped. Its input may have waited to be read until now. */
+    void holdBackBody(PendingRequest<?, ?> request) {
+        request.holdBackBody(clock.now() - clock.maxQueueDelayMs());
+    }
+
+    /**
+     * Returns whether the client may have disconnected without notice, because its disconnect would be behind input
+     * that has not been read for some time. No attempt of such a request may start.
+     */
+    boolean mayBeDisconnected(PendingRequest<?, ?> request) {
+        return request.isHeldBackSince(clock.now() - MAX_UNREAD_MS);
+    }
+
     /** Runs {@code onTimeout} shortly after the response is due, unless the request is concluded before then. */
     void startDecisionTimeout(PendingRequest<?, ?> request, Runnable onTimeout) {
         double delayMs = responseDueMs(request) - clock.now() + DECISION_GRACE_MS;
--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -143,7 +143,7 @@
         PendingRequest<M, A> request = requests.findUnconcluded(id);
         if (request != null) {
             startClientTimeoutIfAwaited(request);
-            request.setBodyState(RequestBodyState.HELD_BACK);
+            deadlines.holdBackBody(request);
         }
     }
 
@@ -182,7 +182,7 @@
             attempts.cancel(request, request.streamedResponse().attempt(), AttemptOutcome.CANCELED);
         } else if (request != null && !request.isConcluded()) {
             responses.concludeDisconnected(request);
-            releaseFromBalancer(request);
+            attempts.release(request);
         }
     }
 
@@ -235,16 +235,7 @@
 
     private void abandon(PendingRequest<M, A> request) {
         responses.abandon(request);
-        releaseFromBalancer(request);
-    }
-
-    /**
-     * Notifies the balancer that a request needs no further decisions, and cancels its attempts that have not been
-     * executed.
-     */
-    private void releaseFromBalancer(PendingRequest<M, A> request) {
-        events.add(request, (loadBalancer, nowMs) -> loadBalancer.onRequestCancelled(nowMs, request.id()));
-        attempts.cancelUnwritten(request);
+        attempts.release(request);
     }
 
     /**
--- a/edge/src/main/java/lemonrail/exchange/RequestLog.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestLog.java
@@ -102,6 +102,19 @@
                 request.id());
     }
 
+    /** Logs that a request is rejected because its client may have disconnected behind an unread body. */
+    void logBodyUnread(PendingRequest<?, ?> request) {
+        if (log.isDebugEnabled()) {
+            logDebug(
+                    "body_unread",
+                    request,
+                    "attempts",
+                    request.attempts().size(),
+                    "took_ms",
+                    sinceArrivalMs(request, clock.now()));
+        }
+    }
+
     void logUnknownAttempt(String requestId) {
         log.warnRateLimited(
                 "unknown_attempt",
--- a/edge/src/main/java/lemonrail/exchange/Upstream.java
+++ b/edge/src/main/java/lemonrail/exchange/Upstream.java
@@ -37,7 +37,8 @@
     interface AttemptListener<A> {
         /**
          * Returns whether the first byte may still be written. Called when a connection has been established for the
-         * attempt. If the result is false, the attempt finishes with {@link AttemptOutcome#CONNECT_ERROR}.
+         * attempt. If the result is false, the attempt finishes with {@link AttemptOutcome#CONNECT_ERROR}, unless it
+         * has been cancelled.
          */
         boolean mayStart();
 
--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -54,7 +54,7 @@
      * How much of a large body is read ahead while no attempt sends it, so that a disconnect behind it is noticed
      * before an attempt begins.
      */
-    private static final int READ_AHEAD_BYTES = 256 * 1024;
+    private static final int READ_AHEAD_BYTES = 2 * 1024 * 1024;
 
     private final BufferBudget budget;
     private final BodyPipe.Source bodySource;
--- a/edge/src/main/java/lemonrail/streaming/BodyPipe.java
+++ b/edge/src/main/java/lemonrail/streaming/BodyPipe.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Forwards a body from one connection to another, with backpressure: it buffers a small window of bytes, and stops
@@ -36,7 +38,9 @@
     private final Source source;
     private final Runnable onCapacity = this::updateReading;
     private Consumer consumer;
-    private ByteBuf pending = Unpooled.buffer();
+    /** The buffered bytes, in parts of up to {@link #CHUNK_BYTES}, so that memory is freed as they are polled. */
+    private final Deque<ByteBuf> pending = new ArrayDeque<>();
+
     private int unwrittenBytes;
     private long forwardedBytes;
     private boolean read;
@@ -75,12 +79,23 @@
         if (closed || size == 0) {
             return;
         }
-        pending.writeBytes(bytes, bytes.readerIndex(), size);
+        append(bytes.duplicate());
         unwrittenBytes += size;
         budget.acquire(size);
         updateReading();
     }
 
+    private void append(ByteBuf bytes) {
+        while (bytes.isReadable()) {
+            ByteBuf last = pending.peekLast();
+            if (last == null || last.maxWritableBytes() == 0) {
+                last = Unpooled.buffer(Math.min(bytes.readableBytes(), CHUNK_BYTES), CHUNK_BYTES);
+                pending.add(last);
+            }
+            last.writeBytes(bytes, Math.min(bytes.readableBytes(), last.maxWritableBytes()));
+        }
+    }
+
     /** Notifies the consumer of all bytes written so far, so that small parts are forwarded together. */
     public void flush() {
         notifyConsumer();
@@ -111,14 +126,9 @@
      * {@link #onWritten} with its size after it has been written.
      */
     public ByteBuf poll() {
-        if (closed || !pending.isReadable()) {
-            return null;
-        }
-        read = true;
-        byte[] chunk = new byte[Math.min(CHUNK_BYTES, pending.readableBytes())];
-        pending.readBytes(chunk);
-        pending.discardSomeReadBytes();
-        return Unpooled.wrappedBuffer(chunk);
+        ByteBuf chunk = pending.poll();
+        read |= chunk != null;
+        return chunk;
     }
 
     /** Notes that bytes returned by {@link #poll} have been written, or that their write has failed. */
@@ -167,7 +177,7 @@
 
     /** Returns whether the body is complete and all of it has been polled. */
     public boolean isFullyRead() {
-        return complete && !pending.isReadable();
+        return complete && pending.isEmpty();
     }
 
     /** Returns whether the body ended before it was complete. */
@@ -189,7 +199,7 @@
             return;
         }
         closed = true;
-        pending = Unpooled.EMPTY_BUFFER;
+        pending.clear();
         budget.cancelNotification(onCapacity);
         int unwrittenBefore = unwrittenBytes;
         unwrittenBytes = 0;
--- a/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
@@ -24,8 +24,8 @@
     private static final double MAX_DETECTION_MS = DEADLINE_MS / 2.0;
 
     private static final int CLIENTS = 3;
-    /** More than the sidecar forwards of a body before an attempt takes it. */
-    private static final int LARGE_BODY_BYTES = 200_000;
+    /** More than the sidecar reads of a body before an attempt takes it. */
+    private static final int UNREADABLE_BODY_BYTES = 5_000_000;
     /** More than the balancer admits at once, so that some are rejected before they disconnect. */
     private static final int MANY_CLIENTS = 40;
     /**
@@ -103,13 +103,20 @@
 
     /** Like the test above, with large requests: their disconnect is behind the part of the body that waits. */
     @ParameterizedTest
-    @CsvSource({"true,true", "true,false", "false,true", "false,false"})
-    void largeRequestAwaitingItsConnectionIsNotSent(boolean cancels, boolean byReset) throws Exception {
+    @CsvSource({
+        "true,true,200000",
+        "true,false,200000",
+        "false,true,200000",
+        "false,false,200000",
+        "true,false,400000",
+        "false,false,400000",
+        "true,false,1900000"
+    })
+    void largeRequestAwaitingItsConnectionIsNotSent(boolean cancels, boolean byReset, int bodyBytes) throws Exception {
         try (LateStubEndpoint late = new LateStubEndpoint()) {
             startWith(late, cancels);
             HttpTestConnection client = fixture.client();
-            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
-                    + LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BODY_BYTES));
+            client.send(largeRequest(bodyBytes));
             SidecarFixture.await("the attempt waits for its connection", () -> fixture.openRequests() == 1);
             disconnect(client, byReset);
             awaitDisconnectsNoticed();
@@ -123,6 +130,43 @@
         }
     }
 
+    private String largeRequest(int bodyBytes) {
+        String head = fixture.request("order", DEADLINE_MS).split("Content-Length")[0];
+        return head + "Content-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes);
+    }
+
+    /**
+     * Guards against an attempt of a request that is too large to be read ahead, so that its client may have
+     * disconnected behind the unread part: when the connection comes up, the request is rejected, not sent.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void requestWhoseClientMayHaveDisconnectedIsRejected(boolean cancels) throws Exception {
+        try (LateStubEndpoint late = new LateStubEndpoint()) {
+            startWith(late, cancels);
+            HttpTestConnection client = fixture.client();
+            String request = largeRequest(UNREADABLE_BODY_BYTES);
+            Thread sender = new Thread(() -> sendUntilClosed(client, request));
+            sender.start();
+            SidecarFixture.await("the attempt waits for its connection", () -> fixture.openRequests() == 1);
+            late.release();
+            assertEquals(503, client.read().status());
+            client.close();
+            sender.join();
+            assertEquals("late", fixture.sendRequest("order", DEADLINE_MS).body());
+            assertEquals(1, late.requestCount.get(), "only the small request is sent");
+        }
+    }
+
+    private static void sendUntilClosed(HttpTestConnection client, String request) {
+        try {
+            client.send(request);
+        } catch (IOException e) {
+            // The sidecar need not read all of the request.
+            return;
+        }
+    }
+
     /** Like the tests above, with more clients at once than the balancer admits. */
     @ParameterizedTest
     @CsvSource({"true,true", "true,false", "false,true", "false,false"})
