A restart no longer cuts off responses that are given or read in pieces

Cause: at the end of the drain, responses to late requests of which nothing had been forwarded for 0.71 s counted as stalled. A pause between two pieces is longer, and a client that reads in pieces looks the same.

Change: cut off is only a response whose endpoint has sent nothing for 2 s and of which all has been forwarded. BodyPipe says for how long it is blocked or its source has paused; the monitor of transfers and the shutdown use that, in place of two ways to compare counts of forwarded bytes.

Why it works: a pause in pieces is below the 2 s from which a rest counts as held back, and what waits for its client has an endpoint that still sends. The stalled response to a late request still ends before SIGKILL (its test passed unchanged).

--- a/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
+++ b/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
@@ -33,10 +33,12 @@
     /** Time left unused before SIGKILL, because timers run late on a busy machine. */
     private static final int SAFETY_MARGIN_MS = 300;
     /**
-     * Requests received this long after SIGTERM or later have to end before SIGKILL. A response to one that has stalled
-     * by then is truncated, which its client can detect; one that makes progress continues.
+     * Requests received this long after SIGTERM or later have to end before SIGKILL. If the endpoint has stopped sending
+     * the response to one, it is truncated, which its client can detect; all others continue.
      */
     private static final int LATE_REQUEST_MS = 700;
+    /** An endpoint that sends nothing of a response for this time has stopped; endpoints send in pieces over seconds. */
+    private static final int MAX_PAUSE_MS = 2000;
     /** Time after the end of the drain in which every request that is still undecided gets its final response. */
     private static final int FINAL_RESPONSE_MS = 10;
     /**
@@ -90,7 +92,6 @@
         loop.execute(() -> beginShutdown(drainMs));
         scheduleOnce(() -> listeners.forEach(Downstream::closeListener), LISTENER_CLOSE_DELAY_MS);
         scheduleOnce(() -> listeners.forEach(Downstream::closeAfterResponses), closeConnectionsAtMs);
-        scheduleOnce(dispatcher::markResponseProgress, closeConnectionsAtMs);
         scheduleOnce(() -> endUndecided(startedMs + LATE_REQUEST_MS), drainMs + FINAL_RESPONSE_MS);
         loop.scheduleWithFixedDelay(
                 () -> signalIfDrained(drained), LISTENER_CLOSE_DELAY_MS, DRAIN_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -98,7 +99,7 @@
 
     private void endUndecided(double lateRequestsFromMs) {
         dispatcher.abandonUndecided();
-        dispatcher.cancelStalledResponses(lateRequestsFromMs);
+        dispatcher.cancelPausedResponses(lateRequestsFromMs, MAX_PAUSE_MS);
     }
 
     private void scheduleOnce(Runnable action, long delayMs) {
--- a/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
+++ b/edge/src/main/java/lemonrail/exchange/AttemptRunner.java
@@ -47,7 +47,7 @@
         this.deadlines = deadlines;
         this.timers = timers;
         this.log = log;
-        progress = new StreamProgressMonitor(timers);
+        progress = new StreamProgressMonitor(context.clock(), timers);
     }
 
     /**
--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.List;
-import java.util.Objects;
 import lemonrail.core.balancer.AttemptOutcome;
 import lemonrail.core.balancer.BalancerSettings;
 import lemonrail.core.balancer.Endpoint;
@@ -198,24 +197,17 @@
         }
     }
 
-    /** Notes how far each response has been forwarded, for {@link #cancelStalledResponses}. */
-    public void markResponseProgress() {
-        requests.all().stream()
-                .map(PendingRequest::streamedResponse)
-                .filter(Objects::nonNull)
-                .forEach(StreamedResponse::markProgress);
-    }
-
     /**
-     * Truncates responses of which nothing has been forwarded since {@link #markResponseProgress}.
+     * Truncates responses of which the endpoint has sent nothing for some time although all of it has been forwarded.
      *
      * @param receivedFromMs requests received earlier are left out, in milliseconds of the event loop's clock
+     * @param minPauseMs how long the endpoint must have sent nothing, in milliseconds
      */
-    public void cancelStalledResponses(double receivedFromMs) {
+    public void cancelPausedResponses(double receivedFromMs, double minPauseMs) {
         for (PendingRequest<M, A> request : requests.snapshot()) {
             if (request.isStreaming()
                     && request.receivedMs() >= receivedFromMs
-                    && request.streamedResponse().isStalledSinceMark()) {
+                    && request.streamedResponse().body().pausedMs() >= minPauseMs) {
                 attempts.cancel(request, request.streamedResponse().attempt(), AttemptOutcome.CANCELED);
             }
         }
--- a/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
+++ b/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 import lemonrail.streaming.BodyPipe;
+import lemonrail.time.Clock;
 
 /**
  * Detects large bodies whose transfer has stalled. While a body is monitored, the periodic check replaces the timeout
@@ -16,19 +17,21 @@
     /** Longer than the stall of a client, because an endpoint that hangs may go on. */
     private static final int RESPONSE_PAUSE_MS = 16_000;
 
+    private final Clock clock;
     private final EventLoopTimers timers;
 
-    StreamProgressMonitor(EventLoopTimers timers) {
+    StreamProgressMonitor(Clock clock, EventLoopTimers timers) {
+        this.clock = clock;
         this.timers = timers;
     }
 
     /**
      * Runs {@code onStalled} if the endpoint accepts nothing for {@link #UPLOAD_STALL_MS} although there are bytes to
-     * send.
+     * send. The bytes may have been waiting since before the attempt; that time does not count.
      */
     void watchUpload(PendingAttempt attempt, BodyPipe body, Runnable onStalled) {
-        Progress progress = new Progress(body, UPLOAD_CHECK_INTERVAL_MS);
-        BooleanSupplier isStalled = () -> progress.update().blockedMs >= UPLOAD_STALL_MS;
+        double startedMs = clock.now();
+        BooleanSupplier isStalled = () -> Math.min(body.blockedMs(), clock.now() - startedMs) >= UPLOAD_STALL_MS;
         scheduleCheck(attempt, UPLOAD_CHECK_INTERVAL_MS, isStalled, onStalled);
     }
 
@@ -37,9 +40,7 @@
      * send, or if the endpoint sends nothing for {@link #RESPONSE_PAUSE_MS}.
      */
     void watchResponse(PendingAttempt attempt, BodyPipe body, Runnable onStalled) {
-        Progress progress = new Progress(body, RESPONSE_CHECK_INTERVAL_MS);
-        BooleanSupplier isStalled =
-                () -> progress.update().blockedMs >= RESPONSE_STALL_MS || progress.pausedMs >= RESPONSE_PAUSE_MS;
+        BooleanSupplier isStalled = () -> body.blockedMs() >= RESPONSE_STALL_MS || body.pausedMs() >= RESPONSE_PAUSE_MS;
         scheduleCheck(attempt, RESPONSE_CHECK_INTERVAL_MS, isStalled, onStalled);
     }
 
@@ -52,29 +53,4 @@
             }
         }));
     }
-
-    /** The progress of a transfer from check to check. */
-    private static final class Progress {
-        private final BodyPipe body;
-        private final int checkIntervalMs;
-        private long forwardedBytes;
-        /** For how long the body has had bytes to forward and none was forwarded. */
-        private int blockedMs;
-        /** For how long the body has had no bytes to forward. */
-        private int pausedMs;
-
-        Progress(BodyPipe body, int checkIntervalMs) {
-            this.body = body;
-            this.checkIntervalMs = checkIntervalMs;
-        }
-
-        /** Notes that one interval has passed. */
-        Progress update() {
-            boolean moved = body.forwardedBytes() != forwardedBytes;
-            forwardedBytes = body.forwardedBytes();
-            blockedMs = moved || body.isDrained() ? 0 : blockedMs + checkIntervalMs;
-            pausedMs = moved || !body.isDrained() ? 0 : pausedMs + checkIntervalMs;
-            return this;
-        }
-    }
 }
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -49,7 +49,7 @@
         this.server = server;
         this.channel = channel;
         timeouts = new ClientTimeoutHandler(channel, server.clock());
-        requestReader = new RequestReader(server.budget(), this::onUploadReadingChanged);
+        requestReader = new RequestReader(server.budget(), server.clock(), this::onUploadReadingChanged);
         responses = new ResponseQueue(channel, this);
         upload = new ClientUpload(server.dispatcher());
         lastResponseMs = server.clock().now();
--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -23,6 +23,7 @@
 import lemonrail.http1.ClientMessage.RequestError;
 import lemonrail.streaming.BodyPipe;
 import lemonrail.streaming.BufferBudget;
+import lemonrail.time.Clock;
 
 /**
  * Assembles requests from the decoder's messages. A large request is passed on with the first part of its body, and the
@@ -57,6 +58,7 @@
     private static final int READ_AHEAD_BYTES = 2 * 1024 * 1024;
 
     private final BufferBudget budget;
+    private final Clock clock;
     private final BodyPipe.Source bodySource;
     /** The head of the request being read, or null. */
     private HttpRequest head;
@@ -73,8 +75,9 @@
      *
      * @param bodySource is notified when reading a large body must stop or can resume
      */
-    RequestReader(BufferBudget budget, BodyPipe.Source bodySource) {
+    RequestReader(BufferBudget budget, Clock clock, BodyPipe.Source bodySource) {
         this.budget = budget;
+        this.clock = clock;
         this.bodySource = bodySource;
     }
 
@@ -168,7 +171,7 @@
 
     /** Passes on a request whose body is too large to be buffered; the rest of the body follows through the pipe. */
     private void startStreaming(ChannelHandlerContext ctx) {
-        remainingBody = new BodyPipe(budget, READ_AHEAD_BYTES, bodySource);
+        remainingBody = new BodyPipe(budget, clock::now, READ_AHEAD_BYTES, bodySource);
         ctx.fireChannelRead(new IncomingRequest(head, takeBody(), remainingBody));
     }
 
--- a/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
@@ -209,8 +209,10 @@
 
     @Override
     public BodyPipe onStreamStarted(UpstreamResponse head) {
-        responseBody =
-                new BodyPipe(context.bufferBudget(), reading -> channel.config().setAutoRead(reading));
+        responseBody = new BodyPipe(
+                context.bufferBudget(),
+                context.clock()::now,
+                reading -> channel.config().setAutoRead(reading));
         BodyPipe started = responseBody;
         if (attempt != null && attempt.isAwaited() && attempt.mayHaveExecuted()) {
             attempt.onResponseStreamStarted(head, started);
--- a/edge/src/main/java/lemonrail/streaming/BodyPipe.java
+++ b/edge/src/main/java/lemonrail/streaming/BodyPipe.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.DoubleSupplier;
 
 /**
  * Forwards a body from one connection to another, with backpressure: it buffers a small window of bytes, and stops
@@ -34,6 +35,7 @@
     }
 
     private final BufferBudget budget;
+    private final DoubleSupplier clockMs;
     private final int unclaimedWindowBytes;
     private final Source source;
     private final Runnable onCapacity = this::updateReading;
@@ -42,27 +44,36 @@
     private final Deque<ByteBuf> pending = new ArrayDeque<>();
 
     private int unwrittenBytes;
-    private long forwardedBytes;
+    /** When bytes were last forwarded, or were added while none were waiting. */
+    private double lastProgressMs;
+
     private boolean read;
     private boolean complete;
     private boolean failed;
     private boolean closed;
 
-    /** Creates a pipe without a consumer. Until it has one, the pipe buffers up to a window of bytes. */
-    public BodyPipe(BufferBudget budget, Source source) {
-        this(budget, WINDOW_BYTES, source);
+    /**
+     * Creates a pipe without a consumer. Until it has one, the pipe buffers up to a window of bytes.
+     *
+     * @param clockMs a clock that never runs backwards, in milliseconds
+     */
+    public BodyPipe(BufferBudget budget, DoubleSupplier clockMs, Source source) {
+        this(budget, clockMs, WINDOW_BYTES, source);
     }
 
     /**
      * Creates a pipe without a consumer.
      *
+     * @param clockMs a clock that never runs backwards, in milliseconds
      * @param unclaimedWindowBytes the window until the pipe has a consumer, in bytes, as long as half of the budget is
      *     free
      */
-    public BodyPipe(BufferBudget budget, int unclaimedWindowBytes, Source source) {
+    public BodyPipe(BufferBudget budget, DoubleSupplier clockMs, int unclaimedWindowBytes, Source source) {
         this.budget = budget;
+        this.clockMs = clockMs;
         this.unclaimedWindowBytes = unclaimedWindowBytes;
         this.source = source;
+        lastProgressMs = clockMs.getAsDouble();
     }
 
     /** Sets the consumer and notifies it immediately. */
@@ -79,6 +90,9 @@
         if (closed || size == 0) {
             return;
         }
+        if (isDrained()) {
+            lastProgressMs = clockMs.getAsDouble();
+        }
         append(bytes.duplicate());
         unwrittenBytes += size;
         budget.acquire(size);
@@ -133,7 +147,7 @@
 
     /** Notes that bytes returned by {@link #poll} have been written, or that their write has failed. */
     public void onWritten(int bytes) {
-        forwardedBytes += bytes;
+        lastProgressMs = clockMs.getAsDouble();
         int releasedBytes = Math.min(bytes, unwrittenBytes);
         unwrittenBytes -= releasedBytes;
         budget.release(releasedBytes);
@@ -160,16 +174,25 @@
         return consumer == null && budget.isHalfFree() ? unclaimedWindowBytes : WINDOW_BYTES;
     }
 
-    /** Returns how many bytes have been forwarded; the value shows whether the transfer makes progress. */
-    public long forwardedBytes() {
-        return forwardedBytes;
-    }
-
     /** Returns whether all bytes received have been forwarded, so that the pipe is waiting for its source. */
     public boolean isDrained() {
         return unwrittenBytes == 0;
     }
 
+    /** Returns for how long there have been bytes to forward and none was forwarded, in milliseconds. */
+    public double blockedMs() {
+        return isDrained() ? 0 : sinceProgressMs();
+    }
+
+    /** Returns for how long the source has provided no bytes although there were none to forward, in milliseconds. */
+    public double pausedMs() {
+        return isDrained() ? sinceProgressMs() : 0;
+    }
+
+    private double sinceProgressMs() {
+        return clockMs.getAsDouble() - lastProgressMs;
+    }
+
     /** Returns whether any bytes have been polled; these cannot be read again. */
     public boolean hasBeenRead() {
         return read;
--- a/edge/src/test/java/lemonrail/assembly/ShutdownResponseTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ShutdownResponseTest.java
@@ -24,11 +24,19 @@
     private static final int CLOSE_CONNECTIONS_MS = 2700;
     /** Requests that arrive this long after SIGTERM must have ended before SIGKILL. */
     private static final int LATE_REQUEST_MS = 1000;
+    /** With pieces a second apart, none comes in the last 0.7 s of the drain, which ends 3.4 s after SIGTERM. */
+    private static final int REQUEST_IN_PIECES_MS = 1550;
 
     private static final int PIECES = 45;
     private static final int PIECE_INTERVAL_MS = 100;
     private static final String PIECE = "x".repeat(4000);
     private static final int LARGE_BYTES = 8_000_000;
+    /** More than the buffers of the connections hold. */
+    private static final int VERY_LARGE_BYTES = 30_000_000;
+
+    private static final int LARGE_PIECES = 4;
+    private static final String LARGE_PIECE = "x".repeat(130_000);
+    private static final int LARGE_PIECE_INTERVAL_MS = 1000;
 
     private final CountDownLatch responding = new CountDownLatch(1);
     private SidecarFixture fixture;
@@ -101,6 +109,43 @@
         shutdown.join();
     }
 
+    /** Guards against a shutdown that takes an endpoint's pause between two pieces of a response for its end. */
+    @Test
+    void responseToALateRequestInPiecesArrivesWhole() throws Exception {
+        start((connection, request) -> {
+            connection.send(responseHead(LARGE_PIECES * LARGE_PIECE.length()));
+            for (int i = 0; i < LARGE_PIECES; i++) {
+                connection.send(LARGE_PIECE);
+                TimeUnit.MILLISECONDS.sleep(LARGE_PIECE_INTERVAL_MS);
+            }
+        });
+        try (HttpTestConnection client = fixture.client()) {
+            startShutdown();
+            sleepUntil(REQUEST_IN_PIECES_MS);
+            client.send(fixture.request("read", DEADLINE_MS));
+            assertEquals(LARGE_PIECES * LARGE_PIECE.length(), client.read().bytes().length);
+        }
+        assertTrue(elapsedMs() > EARLIEST_SIGKILL_MS, "the response outlasts the drain");
+        shutdown.join();
+    }
+
+    /** Like the test above, for a client that reads nothing while the shutdown looks at the responses. */
+    @Test
+    void responseToALateRequestThatItsClientReadsLateArrivesWhole() throws Exception {
+        start((connection, request) -> {
+            connection.send(responseHead(VERY_LARGE_BYTES));
+            connection.socket.getOutputStream().write(new byte[VERY_LARGE_BYTES]);
+        });
+        try (HttpTestConnection client = fixture.client()) {
+            startShutdown();
+            sleepUntil(LATE_REQUEST_MS);
+            client.send(fixture.request("read", DEADLINE_MS));
+            sleepUntil(EARLIEST_SIGKILL_MS);
+            assertEquals(VERY_LARGE_BYTES, client.read().bytes().length);
+        }
+        shutdown.join();
+    }
+
     /**
      * Guards against a stalled response that SIGKILL finds unfinished although its request came long after SIGTERM: it
      * is truncated in time, which its client can detect.
--- a/edge/src/test/java/lemonrail/http1/PipeWriterTest.java
+++ b/edge/src/test/java/lemonrail/http1/PipeWriterTest.java
@@ -123,7 +123,7 @@
                     response
                             ? new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
                             : new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api")));
-            BodyPipe pipe = new BodyPipe(new BufferBudget(BUDGET_BYTES), on -> {});
+            BodyPipe pipe = new BodyPipe(new BufferBudget(BUDGET_BYTES), () -> 0, on -> {});
             pipe.write(Unpooled.wrappedBuffer(new byte[bytes]));
             if (complete) {
                 pipe.complete();
