--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -36,6 +36,15 @@
 
     private static final int PAUSE_MS = 12_000;
 
+    /** Lets the send buffer of the connection grow before the client begins to read slowly. */
+    private static final int FAST_READ_BYTES = 4_000_000;
+
+    private static final int STEADY_RESPONSE_BYTES = 12_000_000;
+
+    private static final int STEADY_READ_BYTES = 16_000;
+    private static final int STEADY_READ_INTERVAL_MS = 250;
+    private static final int STEADY_READS = 120;
+
     private static final int LAST_CHUNK_BYTES = 9_001;
     private static final int LAST_CHUNKS = 600;
     /** Longer than the sidecar reads from a connection after its last response. */
@@ -280,6 +289,29 @@
                 System.nanoTime() - startNs > TimeUnit.MILLISECONDS.toNanos(STALL_MS), "not before the stall time-out");
     }
 
+    /**
+     * Guards against a client that reads slowly but steadily being taken for one that has stopped: its large send buffer
+     * is reported as writable more seldom than the stall time-out.
+     */
+    @Test
+    void steadilyReadResponseArrivesWhole() throws Exception {
+        fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
+                    connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + STEADY_RESPONSE_BYTES + "\r\n\r\n");
+                    connection.socket.getOutputStream().write(new byte[STEADY_RESPONSE_BYTES]);
+                }))
+                .start();
+        HttpTestConnection client = client();
+        client.send(fixture.request("read", DEADLINE_MS));
+        client.readHead();
+        int readBytes = client.in.readNBytes(FAST_READ_BYTES).length;
+        for (int i = 0; i < STEADY_READS; i++) {
+            TimeUnit.MILLISECONDS.sleep(STEADY_READ_INTERVAL_MS);
+            readBytes += client.in.readNBytes(STEADY_READ_BYTES).length;
+        }
+        readBytes += client.in.readNBytes(STEADY_RESPONSE_BYTES).length;
+        assertEquals(STEADY_RESPONSE_BYTES, readBytes);
+    }
+
     /** Guards against a response that is cut off because its endpoint pauses across two checks for progress. */
     @Test
     void streamContinuesAfterAPauseOfItsEndpoint() throws Exception {
