A client that stops in the middle of a body is timed out, however fast it sent before

Cause: each 32 bytes of a body added 1 ms to its time without a bound, so a fast client saved up time: 94 s for 3 MB. And no timer ran for a body that came together with an earlier request: it was started only on an idle connection or once all responses had been written, while the upload's own response was pending.

Evidence: StoppedClientsTest before: no byte for 20 s after 3 MB; behind another request a close after 5 s without an answer (head only) and 408 after 5.6 s (100,000 bytes).

Change: bytes extend the deadline by their time at 32 kB a second, but to 2.5 s from now at most. The timer starts with each large body. A body that is incomplete when all responses are written is no longer taken for an idle connection.

Why it works: without a byte the deadline comes within 2.5 s, whatever came before; at a sufficient rate, with pauses below that, it is always extended.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -173,6 +173,7 @@
         PendingResponse response = addPendingResponse();
         if (request.isStreamed()) {
             upload.start(response);
+            timeouts.onUploadStarted();
         } else {
             timeouts.onRequestRead();
         }
--- a/edge/src/main/java/lemonrail/http1/ClientTimeoutHandler.java
+++ b/edge/src/main/java/lemonrail/http1/ClientTimeoutHandler.java
@@ -164,7 +164,7 @@
         if (wasIdle) {
             startRequestTimeout(ctx);
         }
-        requestReadTimeout.onBytesRead(input.readableBytes());
+        requestReadTimeout.onBytesRead(input.readableBytes(), lastReadMs);
         ctx.fireChannelRead(input);
     }
 
@@ -219,6 +219,17 @@
         requestReadTimeout.onHeadRead(clock.now());
     }
 
+    /** Notes that a large body is being read. Its timeout applies even while earlier responses are pending. */
+    void onUploadStarted() {
+        checkBodyTimeout(channel.pipeline().context(this));
+    }
+
+    private void checkBodyTimeout(ChannelHandlerContext ctx) {
+        requestState = RequestState.RECEIVING;
+        requestReadTimeout.ensureMinBodyTime(clock.now());
+        checkRequestTimeout(ctx);
+    }
+
     /** Notes that the sidecar has paused or resumed reading a body. */
     void onBodyReadingChanged(boolean reading) {
         if (reading) {
@@ -249,15 +260,14 @@
             return;
         }
         ChannelHandlerContext ctx = channel.pipeline().context(this);
-        if (requestState != RequestState.RECEIVING) {
+        if (requestReadTimeout.isInBody()) {
+            checkBodyTimeout(ctx);
+        } else if (requestState == RequestState.RECEIVING) {
+            startRequestTimeout(ctx);
+        } else {
             requestState = RequestState.IDLE;
             graceUsed = false;
             timer.start(MAX_IDLE_MS, this::closeIdle);
-        } else if (requestReadTimeout.isInBody()) {
-            requestReadTimeout.ensureMinBodyTime(clock.now());
-            checkRequestTimeout(ctx);
-        } else {
-            startRequestTimeout(ctx);
         }
     }
 
--- a/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
@@ -2,8 +2,8 @@
 
 /**
  * The timeout for receiving a complete request. A head must arrive within a fixed time. A body may take longer while it
- * arrives at a minimum rate; time during which the sidecar does not read the body does not count. All times are in
- * milliseconds of the event loop's clock.
+ * arrives at a minimum rate and without long pauses; time during which the sidecar does not read the body does not count.
+ * All times are in milliseconds of the event loop's clock.
  */
 final class RequestReadTimeout {
 
@@ -15,39 +15,40 @@
     /** The minimum time that every body is allowed. */
     static final int MIN_BODY_MS = 500;
 
+    /** The maximum time without a byte of a body, however fast the bytes before came. */
+    private static final int MAX_BODY_PAUSE_MS = 2500;
+
     private static final int MIN_BODY_BYTES_PER_MS = 32;
     private static final double NOT_PAUSED = -1;
 
-    /** The deadline without the time that the received bytes of the body add to it. */
-    private double baseDeadlineMs;
-
+    private double deadlineMs;
     private boolean inBody;
-    private long bodyBytes;
     private double pausedAtMs = NOT_PAUSED;
 
     /** Starts the timeout for the head of a request. */
     void start(double nowMs) {
         inBody = false;
-        bodyBytes = 0;
         pausedAtMs = NOT_PAUSED;
-        baseDeadlineMs = nowMs + MAX_HEAD_MS;
+        deadlineMs = nowMs + MAX_HEAD_MS;
     }
 
     /** Starts the timeout for a body, because its head has been read. */
     void onHeadRead(double nowMs) {
         inBody = true;
-        bodyBytes = 0;
         ensureMinBodyTime(nowMs);
     }
 
     /** Extends the deadline so that a body has at least its minimum time from now. */
     void ensureMinBodyTime(double nowMs) {
-        baseDeadlineMs = Math.max(baseDeadlineMs, nowMs + MIN_BODY_MS);
+        deadlineMs = Math.max(deadlineMs, nowMs + MIN_BODY_MS);
     }
 
-    void onBytesRead(int bytes) {
+    /** Extends the deadline by the time that the bytes of a body may take at the minimum rate. */
+    void onBytesRead(int bytes, double nowMs) {
         if (inBody) {
-            bodyBytes += bytes;
+            double latestMs = (isPaused() ? pausedAtMs : nowMs) + MAX_BODY_PAUSE_MS;
+            double extendedMs = deadlineMs + (double) bytes / MIN_BODY_BYTES_PER_MS;
+            deadlineMs = Math.max(deadlineMs, Math.min(extendedMs, latestMs));
         }
     }
 
@@ -69,7 +70,7 @@
     /** Resumes the timeout. */
     void resume(double nowMs) {
         if (isPaused()) {
-            baseDeadlineMs += nowMs - pausedAtMs;
+            deadlineMs += nowMs - pausedAtMs;
             pausedAtMs = NOT_PAUSED;
         }
     }
@@ -80,6 +81,6 @@
 
     /** Returns the remaining time in milliseconds; 0 or less if the timeout has passed. */
     double remainingMs(double nowMs) {
-        return baseDeadlineMs + (inBody ? bodyBytes / MIN_BODY_BYTES_PER_MS : 0) - nowMs;
+        return deadlineMs - nowMs;
     }
 }
