Bodies of requests that no endpoint gets no longer use up the buffer budget

Callers saw, within 150 bodies of 200 kB on a wrong path that came together with an earlier request: 503 "too many large bodies" for a body of over 8 KiB, until a restart.

Cause: bytes in a pipe count until they are written or the pipe is closed. The dispatcher closes the pipes of its requests; nothing closed that of a request which the sidecar answers itself, and behind a pending response its body is read.

Evidence: the new test (150 bodies of 200 kB behind a pending request) got 503 in place of 404 before.

Change: ClientConnection closes the pipe of a request that it has not dispatched.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -183,6 +183,10 @@
         } else {
             server.router().route(this, request, response);
         }
+        if (request.isStreamed() && !response.isDispatched()) {
+            // No dispatcher owns this body, so what arrives of it is discarded here.
+            request.remainingBody().close();
+        }
     }
 
     private PendingResponse addPendingResponse() {
--- a/edge/src/main/java/lemonrail/http1/PendingResponse.java
+++ b/edge/src/main/java/lemonrail/http1/PendingResponse.java
@@ -104,6 +104,11 @@
         return overload ? Metrics.Outcome.OVERLOAD : Metrics.Outcome.ERROR;
     }
 
+    /** Returns whether the request has been passed to the dispatcher. */
+    boolean isDispatched() {
+        return requestId != null;
+    }
+
     /** Returns the id of the request if the dispatcher is still handling it, or null. */
     String inFlightRequestId() {
         boolean open = response == null || (body != null && !body.isFullyRead());
--- a/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,13 @@
     private static final int INPUT_WAIT_MS = 900;
 
     private static final int LARGE_BODY_BYTES = 200_000;
+    /** Together more than the bodies that are buffered at once. */
+    private static final int DISCARDED_BODIES = 150;
+
+    private static final int DISCARDED_BYTES = 200_000;
+    /** A body that is buffered completely, and only while there is room for it. */
+    private static final int BUFFERED_BODY_BYTES = 60_000;
+
     private static final String UNKNOWN_PATH = "GET /other HTTP/1.1\r\nHost: x\r\n\r\n";
 
     private final CountDownLatch firstReleased = new CountDownLatch(1);
@@ -64,6 +72,35 @@
         }
     }
 
+    /** Guards against a body that counts as buffered for ever: that of a request which is answered without an endpoint. */
+    @Test
+    void discardedBodiesDoNotUseUpTheBufferBudget() throws Exception {
+        Semaphore responses = new Semaphore(0);
+        fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
+                    if (request.headers().get("x-class").equals("read")) {
+                        responses.acquire();
+                    }
+                    StubEndpoint.respond(connection, 200, "", "read " + request.bytes().length);
+                }))
+                .start();
+        String discarded = "POST /other HTTP/1.1\r\nHost: x\r\nContent-Length: " + DISCARDED_BYTES + "\r\n\r\n"
+                + "x".repeat(DISCARDED_BYTES);
+        for (int i = 0; i < DISCARDED_BODIES; i++) {
+            try (HttpTestConnection client = fixture.client()) {
+                client.send(fixture.request("read", DEADLINE_MS) + discarded);
+                fixture.awaitReusableConnections();
+                responses.release();
+                assertEquals("read 0", client.read().body());
+                assertEquals(404, client.read().status());
+            }
+        }
+        try (HttpTestConnection client = fixture.client()) {
+            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
+                    + BUFFERED_BODY_BYTES + "\r\n\r\n" + "x".repeat(BUFFERED_BODY_BYTES));
+            assertEquals("read " + BUFFERED_BODY_BYTES, client.read().body());
+        }
+    }
+
     /** Guards against a deadline that counts only from when the sidecar looks at input that it has buffered. */
     @Test
     void deadlineOfABufferedRequestCountsFromItsArrival() throws Exception {
