--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -57,13 +57,8 @@
 
     /** Adds the connection's handlers to its pipeline, in the order in which they process input. */
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(
-                new PendingWriteFlusher(),
-                timeouts,
-                new HttpRequestDecoder(),
-                new HttpResponseEncoder(),
-                requestReader,
-                this);
+        pipeline.addLast(new PendingWriteFlusher(), timeouts);
+        pipeline.addLast(new HttpRequestDecoder(), new HttpResponseEncoder(), requestReader, this);
     }
 
     // ---- opening and closing ----
--- a/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientDisconnectTest.java
@@ -131,8 +131,7 @@
     }
 
     private String largeRequest(int bodyBytes) {
-        String head = fixture.request("order", DEADLINE_MS).split("Content-Length")[0];
-        return head + "Content-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes);
+        return fixture.uploadHead(DEADLINE_MS, bodyBytes) + "x".repeat(bodyBytes);
     }
 
     /**
--- a/edge/src/test/java/lemonrail/assembly/EventLoopStallTest.java
+++ b/edge/src/test/java/lemonrail/assembly/EventLoopStallTest.java
@@ -212,9 +212,7 @@
                     "\"servers\":[" + SidecarFixture.endpointJson(0, late.address(), "in_service", 0) + "]");
             fixture.start();
             try (HttpTestConnection connection = fixture.client()) {
-                connection.send(
-                        fixture.request("order", STALLED_CLIENT_TIMEOUT_MS).split("Content-Length")[0]
-                                + "Content-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes));
+                connection.send(fixture.uploadHead(STALLED_CLIENT_TIMEOUT_MS, bodyBytes) + "x".repeat(bodyBytes));
                 SidecarFixture.await("an attempt waits for its connection", () -> fixture.openRequests() == 1);
                 late.release();
                 assertEquals(200, connection.read().status());
--- a/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
@@ -60,8 +60,7 @@
         fixture = new SidecarFixture(new StubEndpoint(this::respond)).start();
         try (HttpTestConnection client = fixture.client()) {
             client.send(fixture.request("read", DEADLINE_MS) + UNKNOWN_PATH.repeat(6));
-            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
-                    + LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BODY_BYTES));
+            client.send(fixture.uploadHead(DEADLINE_MS, LARGE_BODY_BYTES) + "x".repeat(LARGE_BODY_BYTES));
             assertTrue(uploadReceived.await(DEADLINE_MS, TimeUnit.MILLISECONDS), "the body is forwarded");
             firstReleased.countDown();
             assertEquals("first", client.read().body());
@@ -95,8 +94,7 @@
             }
         }
         try (HttpTestConnection client = fixture.client()) {
-            client.send(fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
-                    + BUFFERED_BODY_BYTES + "\r\n\r\n" + "x".repeat(BUFFERED_BODY_BYTES));
+            client.send(fixture.uploadHead(DEADLINE_MS, BUFFERED_BODY_BYTES) + "x".repeat(BUFFERED_BODY_BYTES));
             assertEquals("read " + BUFFERED_BODY_BYTES, client.read().body());
         }
     }
--- a/edge/src/test/java/lemonrail/assembly/SidecarFixture.java
+++ b/edge/src/test/java/lemonrail/assembly/SidecarFixture.java
@@ -136,6 +136,11 @@
                 : "POST /api?q=1 HTTP/1.1\r\n" + head + "Idempotency-Key: k1\r\nContent-Length: 5\r\n\r\nhello";
     }
 
+    /** Returns the head of a new request of class "order" with a body of the given size, which the caller sends. */
+    String uploadHead(int deadlineMs, int bodyBytes) {
+        return request("order", deadlineMs).split("Content-Length")[0] + "Content-Length: " + bodyBytes + "\r\n\r\n";
+    }
+
     HttpTestConnection adminConnection() throws IOException {
         return HttpTestConnection.to(sidecar.adminAddress());
     }
--- a/edge/src/test/java/lemonrail/assembly/SmallHeapTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SmallHeapTest.java
@@ -74,8 +74,7 @@
         List<Thread> clients = new ArrayList<>();
         AtomicInteger complete = new AtomicInteger();
         for (int i = 0; i < CLIENTS; i++) {
-            String head = fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: "
-                    + BODY_BYTES + "\r\n\r\n";
+            String head = fixture.uploadHead(DEADLINE_MS, BODY_BYTES);
             Thread client = new Thread(() -> sendRequest(head, complete), "client");
             client.start();
             clients.add(client);
--- a/edge/src/test/java/lemonrail/assembly/StoppedClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/StoppedClientsTest.java
@@ -39,11 +39,6 @@
         fixture.close();
     }
 
-    private String uploadHead(int bodyBytes) {
-        return fixture.request("order", DEADLINE_MS).split("Content-Length")[0] + "Content-Length: " + bodyBytes
-                + "\r\n\r\n";
-    }
-
     private static void assertTimedOut(HttpTestConnection client, long stoppedNs) throws IOException {
         assertEquals(408, client.read().status());
         client.awaitEnd();
@@ -55,7 +50,7 @@
     @Test
     void clientThatStopsAfterSendingFastIsTimedOut() throws Exception {
         try (HttpTestConnection client = fixture.client()) {
-            client.send(uploadHead(BODY_BYTES) + "x".repeat(SENT_BYTES));
+            client.send(fixture.uploadHead(DEADLINE_MS, BODY_BYTES) + "x".repeat(SENT_BYTES));
             assertTimedOut(client, System.nanoTime());
         }
         SidecarFixture.await("the request has ended", () -> fixture.openRequests() == 0);
@@ -67,7 +62,9 @@
     @ValueSource(ints = {0, 10_000, 100_000})
     void bodyThatStopsBehindAnotherRequestIsTimedOut(int sentBytes) throws Exception {
         try (HttpTestConnection client = fixture.client()) {
-            client.send(fixture.request("read", DEADLINE_MS) + uploadHead(BODY_BYTES) + "x".repeat(sentBytes));
+            client.send(fixture.request("read", DEADLINE_MS)
+                    + fixture.uploadHead(DEADLINE_MS, BODY_BYTES)
+                    + "x".repeat(sentBytes));
             long stoppedNs = System.nanoTime();
             assertEquals("served", client.read().body());
             assertTimedOut(client, stoppedNs);
@@ -78,7 +75,7 @@
     @Test
     void bodySentInPiecesIsAccepted() throws Exception {
         try (HttpTestConnection client = fixture.client()) {
-            client.send(uploadHead(PIECES * PIECE_BYTES));
+            client.send(fixture.uploadHead(DEADLINE_MS, PIECES * PIECE_BYTES));
             for (int i = 0; i < PIECES; i++) {
                 client.send("x".repeat(PIECE_BYTES));
                 TimeUnit.MILLISECONDS.sleep(PIECE_INTERVAL_MS);
--- a/edge/src/test/java/lemonrail/assembly/UploadDeadlineTest.java
+++ b/edge/src/test/java/lemonrail/assembly/UploadDeadlineTest.java
@@ -102,8 +102,7 @@
     }
 
     private String head(int deadlineMs, int bodyBytes) {
-        return fixture.request("order", deadlineMs).split("Content-Length")[0] + "Content-Length: " + bodyBytes
-                + "\r\n\r\n";
+        return fixture.uploadHead(deadlineMs, bodyBytes);
     }
 
     private void assertRespondedWithin(int deadlineMs, int limitMs) throws Exception {
