--- a/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
+++ b/edge/src/main/java/lemonrail/assembly/GracefulShutdown.java
@@ -33,11 +33,11 @@
     /** Time left unused before SIGKILL, because timers run late on a busy machine. */
     private static final int SAFETY_MARGIN_MS = 300;
     /**
-     * Requests received this long after SIGTERM or later have to end before SIGKILL. If the endpoint has stopped sending
-     * the response to one, it is truncated, which its client can detect; all others continue.
+     * Requests received this long after SIGTERM or later have to end before SIGKILL. If the endpoint has stopped
+     * sending the response to one, it is truncated, which its client can detect; all others continue.
      */
     private static final int LATE_REQUEST_MS = 700;
-    /** An endpoint that sends nothing of a response for this time has stopped; endpoints send in pieces over seconds. */
+    /** An endpoint that sends nothing of a response for this time has stopped. Some send pieces a second apart. */
     private static final int MAX_PAUSE_MS = 2000;
     /** Time after the end of the drain in which every request that is still undecided gets its final response. */
     private static final int FINAL_RESPONSE_MS = 10;
--- a/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
@@ -2,8 +2,8 @@
 
 /**
  * The timeout for receiving a complete request. A head must arrive within a fixed time. A body may take longer while it
- * arrives at a minimum rate and without long pauses; time during which the sidecar does not read the body does not count.
- * All times are in milliseconds of the event loop's clock.
+ * arrives at a minimum rate and without long pauses; time during which the sidecar does not read the body does not
+ * count. All times are in milliseconds of the event loop's clock.
  */
 final class RequestReadTimeout {
 
--- a/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/PipelinedRequestsTest.java
@@ -71,7 +71,7 @@
         }
     }
 
-    /** Guards against a body that counts as buffered for ever: that of a request which is answered without an endpoint. */
+    /** Guards against a body that counts as buffered for ever, as its request is answered without an endpoint. */
     @Test
     void discardedBodiesDoNotUseUpTheBufferBudget() throws Exception {
         Semaphore responses = new Semaphore(0);
--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -290,8 +290,8 @@
     }
 
     /**
-     * Guards against a client that reads slowly but steadily being taken for one that has stopped: its large send buffer
-     * is reported as writable more seldom than the stall time-out.
+     * Guards against a client that reads slowly but steadily being taken for one that has stopped: its large send
+     * buffer is reported as writable more seldom than the stall time-out.
      */
     @Test
     void steadilyReadResponseArrivesWhole() throws Exception {
--- a/edge/src/test/java/lemonrail/assembly/StoppedClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/StoppedClientsTest.java
@@ -46,7 +46,7 @@
         assertTrue(responseMs < MAX_RESPONSE_MS, "ended " + responseMs + " ms after the client stopped");
     }
 
-    /** Guards against a client that saves up time by sending fast, and so keeps its connection and an endpoint's slot. */
+    /** Guards against a client that saves up time by sending fast, and so keeps a slot of an endpoint. */
     @Test
     void clientThatStopsAfterSendingFastIsTimedOut() throws Exception {
         try (HttpTestConnection client = fixture.client()) {
