A pause in reading a body ends with the body, so that the next body has its timeout

A body that came right behind it on the connection was then taken for paused, and its timeout put off by 0.5 s for ever.

Change: the end of a request ends the pause.

--- a/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReadTimeout.java
@@ -52,8 +52,10 @@
         }
     }
 
+    /** Notes that the request is complete. A pause in reading its body ends with it. */
     void onRequestRead() {
         inBody = false;
+        pausedAtMs = NOT_PAUSED;
     }
 
     boolean isInBody() {
