--- a/edge/src/test/java/lemonrail/assembly/SidecarChildProcess.java
+++ b/edge/src/test/java/lemonrail/assembly/SidecarChildProcess.java
@@ -11,7 +11,7 @@
 /** A sidecar that runs as a child process, with the lines of its log. */
 final class SidecarChildProcess {
 
-    private static final String SERVING_TEXT = "serving at /";
+    static final String SERVING_TEXT = "serving at /";
 
     final Process process;
     final List<String> log = new CopyOnWriteArrayList<>();
@@ -39,7 +39,11 @@
         command.add("-XX:TieredStopAtLevel=1");
         command.addAll(List.of(flags));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "lemonrail.cli.Main", "serve"));
-        ProcessBuilder builder = new ProcessBuilder(command);
+        return launch(new ProcessBuilder(command), config, folder);
+    }
+
+    /** Starts a sidecar by the builder's command, without waiting until it serves requests. */
+    static SidecarChildProcess launch(ProcessBuilder builder, Path config, Path folder) throws IOException {
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
         return new SidecarChildProcess(builder.redirectErrorStream(true).start());
