A process whose event loop has ended ends at once with status 70

Cause: Netty's event loop ends with any Error thrown in its I/O. Nobody watched its thread. With no other thread left the JVM ran the shutdown hook, which needs the loop; its exception was lost and the JVM reported 0. Change: an OutOfMemoryError within the handling of I/O ends that handling, is logged, and the loop goes on with its other connections (MonitoringIoHandler, which measured the lag alone before). If the loop's thread ends all the same, EventLoopThreadFactory writes a line prepared in advance and halts with status 70. A shutdown that fails ends with 70 as well. Evidence: EventLoopEndTest stops the thread of the loop in a process of its own; MonitoringIoHandlerTest throws errors from the I/O handler.

--- a/edge/src/main/java/lemonrail/assembly/Sidecar.java
+++ b/edge/src/main/java/lemonrail/assembly/Sidecar.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import lemonrail.logging.EventLog;
 
@@ -123,7 +122,7 @@
 
     /** Stops at once, like a killed process; requests in flight get no response. */
     public void stop() {
-        parts.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        parts.eventLoop().stop();
         try {
             parts.siblingLock().close();
         } catch (IOException e) {
--- a/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
+++ b/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
@@ -1,9 +1,6 @@
 package lemonrail.assembly;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.PlatformDependent;
 import java.util.concurrent.atomic.AtomicReference;
 import lemonrail.admin.AdminServer;
@@ -30,7 +27,6 @@
 import lemonrail.suspension.SuspendedEndpoints;
 import lemonrail.time.Clock;
 import lemonrail.time.EventLoopLag;
-import lemonrail.time.LagMeasuringIoHandler;
 import lemonrail.upgrade.SiblingProcessLock;
 
 /**
@@ -69,19 +65,19 @@
 
     /** Returns a sidecar that listens once {@link Sidecar#start} is called; blocks until all components exist. */
     public Sidecar build() {
-        EventLoopLag lag = new EventLoopLag();
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
-                1, new DefaultThreadFactory("sidecar"), new LagMeasuringIoHandler(NioIoHandler.newFactory(), lag));
-        EventLoop loop = (EventLoop) group.next();
-        return loop.submit(() -> assemble(protocol, group, loop, lag))
+        SidecarEventLoop eventLoop = new SidecarEventLoop();
+        return eventLoop
+                .loop()
+                .submit(() -> assemble(protocol, eventLoop))
                 .syncUninterruptibly()
                 .getNow();
     }
 
-    private <M extends ProtocolRequest, A> Sidecar assemble(
-            Protocol<M, A> protocol, MultiThreadIoEventLoopGroup group, EventLoop loop, EventLoopLag lag) {
-        Clock clock = new Clock(lag);
+    private <M extends ProtocolRequest, A> Sidecar assemble(Protocol<M, A> protocol, SidecarEventLoop eventLoop) {
+        EventLoop loop = eventLoop.loop();
+        Clock clock = new Clock(eventLoop.lag());
         EventLog log = new EventLog(clock, sink);
+        eventLoop.setOutOfMemoryListener(() -> log.error("the heap has ended", new OutOfMemoryError()));
         SuspendedEndpoints suspensions = new SuspendedEndpoints(config.stateFile("suspended"), log);
         SiblingProcessLock siblingLock = new SiblingProcessLock(config.stateFile("processes"), log);
         MemoryPlan memory = MemoryPlan.of(config);
@@ -128,7 +124,7 @@
         new SiblingMonitor(log, siblingLock, suspensions, descriptors, budget, dispatcher, upstream, listeners)
                 .start(loop);
         return new Sidecar(new SidecarParts(
-                group,
+                eventLoop,
                 context,
                 config,
                 protocol,
--- a/edge/src/main/java/lemonrail/assembly/SidecarParts.java
+++ b/edge/src/main/java/lemonrail/assembly/SidecarParts.java
@@ -1,6 +1,5 @@
 package lemonrail.assembly;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import lemonrail.admin.AdminServer;
 import lemonrail.config.EdgeConfig;
 import lemonrail.exchange.EventLoopContext;
@@ -11,7 +10,7 @@
 
 /** The components that {@link Sidecar} needs for its life cycle, created by {@link SidecarBuilder}. */
 record SidecarParts(
-        MultiThreadIoEventLoopGroup eventLoopGroup,
+        SidecarEventLoop eventLoop,
         EventLoopContext context,
         EdgeConfig config,
         Protocol<?, ?> protocol,
--- a/edge/src/main/java/lemonrail/cli/SidecarProcess.java
+++ b/edge/src/main/java/lemonrail/cli/SidecarProcess.java
@@ -10,6 +10,7 @@
 import lemonrail.config.ConfigSource;
 import lemonrail.config.LoadedConfiguration;
 import lemonrail.http1.Http1Protocol;
+import lemonrail.lifecycle.EventLoopThreadFactory;
 import lemonrail.logging.LogSink;
 import lemonrail.logging.LogSinks;
 import sun.misc.Signal;
@@ -56,12 +57,19 @@
     }
 
     /**
-     * Drains all connections, then halts from the shutdown hook, so that SIGTERM ends the process with exit
-     * status 0.
+     * Drains all connections, then halts from the shutdown hook, so that SIGTERM ends the process with exit status 0,
+     * unless it could not be shut down as described.
      */
-    private static void shutDown(Sidecar sidecar, LogSink log) {
-        sidecar.shutdownGracefully();
-        log.close();
-        Runtime.getRuntime().halt(Main.OK);
+    private void shutDown(Sidecar sidecar, LogSink log) {
+        int status = EventLoopThreadFactory.EXIT_STATUS;
+        try {
+            sidecar.shutdownGracefully();
+            status = Main.OK;
+        } catch (RuntimeException e) {
+            errors.println("lemonrail: the shutdown has failed: " + e);
+        } finally {
+            log.close();
+            Runtime.getRuntime().halt(status);
+        }
     }
 }
--- a/edge/src/main/java/lemonrail/time/LagMeasuringIoHandler.java
+++ b/edge/src/main/java/lemonrail/time/MonitoringIoHandler.java
@@ -10,37 +10,52 @@
 /**
  * Reports the polls of one event loop to an {@link EventLoopLag}. Netty has no hook that is called when a poll returns.
  * However, a handler asks its context at this point, before it handles the ready events, whether to report the I/O
- * time. That call marks the end of the poll.
+ * time. That call marks the end of the poll. An end of the heap within the handling of an event ends the handling but
+ * not the event loop, which serves all other connections.
  */
-public final class LagMeasuringIoHandler implements IoHandlerFactory {
+public final class MonitoringIoHandler implements IoHandlerFactory {
 
     private final IoHandlerFactory delegate;
     private final EventLoopLag lag;
+    private final Runnable onOutOfMemory;
 
-    /** Creates a factory that wraps another one; it must be used for one event loop only. */
-    public LagMeasuringIoHandler(IoHandlerFactory delegate, EventLoopLag lag) {
+    /**
+     * Creates a factory that wraps another one; it must be used for one event loop only.
+     *
+     * @param onOutOfMemory is called on the event loop when the handling of events has ended with an
+     *     {@link OutOfMemoryError}
+     */
+    public MonitoringIoHandler(IoHandlerFactory delegate, EventLoopLag lag, Runnable onOutOfMemory) {
         this.delegate = delegate;
         this.lag = lag;
+        this.onOutOfMemory = onOutOfMemory;
     }
 
     @Override
     public IoHandler newHandler(ThreadAwareExecutor executor) {
-        return new Handler(delegate.newHandler(executor), lag);
+        return new Handler(delegate.newHandler(executor), lag, onOutOfMemory);
     }
 
     private static final class Handler implements IoHandler {
         private final IoHandler delegate;
         private final Context context;
+        private final Runnable onOutOfMemory;
 
-        Handler(IoHandler delegate, EventLoopLag lag) {
+        Handler(IoHandler delegate, EventLoopLag lag, Runnable onOutOfMemory) {
             this.delegate = delegate;
+            this.onOutOfMemory = onOutOfMemory;
             context = new Context(lag);
         }
 
         @Override
         public int run(IoHandlerContext loop) {
             context.startIteration(loop);
-            return delegate.run(context);
+            try {
+                return delegate.run(context);
+            } catch (OutOfMemoryError e) {
+                onOutOfMemory.run();
+                return 0;
+            }
         }
 
         @Override
