Responses without a length are forwarded when the endpoint ends them with the connection

Cause: ResponseHeads.isDelimited refused every final head with neither Content-Length nor chunks, since Netty's decoder ends such a body in the same way after a close, a reset and our own close. Change: connections to endpoints allow half-closure, so that the end of the input is an event of its own; only behind that event does the decoder's end count. After a reset, or where the sidecar closes, the attempt is reset or the stream is truncated (its chunked client can tell). Up to 64 KiB are held until the end or the attempt's time-out, so that a safe request is tried again where nothing is passed on yet; more is streamed. Other statuses than 200 are reported by their head, so a 503 with X-Not-Run is retried.

--- a/edge/src/main/java/lemonrail/http1/ResponseHeads.java
+++ b/edge/src/main/java/lemonrail/http1/ResponseHeads.java
@@ -26,21 +26,25 @@
         return status >= HttpResponseStatus.CONTINUE.code() && status != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
     }
 
-    /** Returns whether a final response with this head is acceptable. The head must determine where the body ends. */
+    /**
+     * Returns whether a final response with this head is acceptable: its body is chunked, or has a length within the
+     * maximum, or has neither and {@linkplain #endsWithConnection ends with the connection}.
+     */
     static boolean isAcceptableFinal(HttpResponse head) {
-        return head.status().code() < FIRST_INVALID_STATUS && isDelimited(head);
+        return head.status().code() < FIRST_INVALID_STATUS && isFramingAcceptable(head);
     }
 
-    /**
-     * Returns whether the body has a length or is chunked. A body that ends with the connection is not acceptable,
-     * because it could be truncated without being noticed.
-     */
-    private static boolean isDelimited(HttpResponse head) {
+    private static boolean isFramingAcceptable(HttpResponse head) {
         String coding = head.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
         if (coding != null) {
             return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding);
         }
-        return HttpUtil.isContentLengthSet(head) && HttpUtil.getContentLength(head) <= ResponseReader.MAX_BODY_BYTES;
+        return HttpUtil.getContentLength(head, 0L) <= ResponseReader.MAX_BODY_BYTES;
+    }
+
+    /** Returns whether only the orderly end of the connection ends the body (RFC 9112, section 6.3). */
+    static boolean endsWithConnection(HttpResponse head) {
+        return !head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) && !HttpUtil.isContentLengthSet(head);
     }
 
     /** Converts a head and a body to a response. */
--- a/edge/src/main/java/lemonrail/http1/ResponseReader.java
+++ b/edge/src/main/java/lemonrail/http1/ResponseReader.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -20,8 +21,9 @@
 /**
  * Reads the responses on a connection to an endpoint, one at a time. A small response is buffered, and reported after
  * everything that arrived with it has been read, so that surplus bytes are never taken for the next response. A
- * successful response that is large, or slow and of unknown length, is streamed; of another such response only the head
- * is reported. Confined to the connection's event loop.
+ * successful response that is large, or slow and chunked, is streamed; of another such response only the head is
+ * reported. A response with neither a length nor chunks is complete when the endpoint has closed the connection; after a
+ * reset it is not. Confined to the connection's event loop.
  */
 final class ResponseReader extends ChannelInboundHandlerAdapter {
 
@@ -85,6 +87,8 @@
     private int interimResponses;
     /** The timer after which a response of unknown length is streamed, or null. */
     private Future<?> bufferingTimeout;
+    /** Whether the endpoint has closed the connection, so that all of its bytes have been read. */
+    private boolean inputEnded;
     /** Whether the connection cannot be reused after this response. */
     private boolean notReusable;
 
@@ -123,6 +127,13 @@
                 failMalformed();
             }
         }
+
+        /** Notes the end of the input before the decoder does, which then ends a response without a length. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            inputEnded |= event instanceof ChannelInputShutdownEvent;
+            ctx.fireUserEventTriggered(event);
+        }
     }
 
     private void failMalformed() {
@@ -187,7 +198,12 @@
         if (ResponseHeads.isInterim(started)) {
             return;
         }
-        if (!HttpUtil.isContentLengthSet(started)) {
+        if (ResponseHeads.endsWithConnection(started)) {
+            notReusable = true;
+            if (!isSuccess(started)) {
+                streamOrReportHead();
+            }
+        } else if (!HttpUtil.isContentLengthSet(started)) {
             bufferingTimeout =
                     ctx.executor().schedule(this::streamOrReportHead, MAX_BUFFERING_MS, TimeUnit.MILLISECONDS);
         } else if (HttpUtil.getContentLength(started) > MAX_BUFFERED_BYTES) {
@@ -209,7 +225,7 @@
      */
     private void streamOrReportHead() {
         cancelBufferingTimeout();
-        if (head.status().code() == HttpResponseStatus.OK.code()) {
+        if (isSuccess(head)) {
             pipe = listener.onStreamStarted(ResponseHeads.toResponse(head, new byte[0]));
             stream(body);
             pipe.flush();
@@ -223,11 +239,23 @@
         }
     }
 
+    private static boolean isSuccess(HttpResponse started) {
+        return started.status().code() == HttpResponseStatus.OK.code();
+    }
+
+    /** Returns whether the decoder ends a body because the connection has failed or has been closed by the sidecar. */
+    private boolean isTruncated(HttpContent content) {
+        return content instanceof LastHttpContent && ResponseHeads.endsWithConnection(head) && !inputEnded;
+    }
+
     private void readContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             failMalformed();
             return;
         }
+        if (!ResponseHeads.isInterim(head) && isTruncated(content)) {
+            return;
+        }
         ByteBuf bytes = content.content();
         if (pipe == null && !mayBuffer(body.readableBytes() + bytes.readableBytes())) {
             if (ResponseHeads.isInterim(head)) {
--- a/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
@@ -264,7 +265,7 @@
         idleConnections.add(this);
     }
 
-    /** Resumes writing when the channel becomes writable, and closes the connection on errors. */
+    /** Resumes writing when the channel becomes writable, and closes the connection at its end and on errors. */
     private final class ChannelEventHandler extends ChannelInboundHandlerAdapter {
 
         @Override
@@ -274,6 +275,14 @@
             }
         }
 
+        /** Closes the connection when the endpoint has closed it and all that it has sent has been read. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // A network error is reported as the outcome of the attempt; any other exception is a bug in this program.
--- a/edge/src/main/java/lemonrail/http1/UpstreamConnector.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamConnector.java
@@ -25,6 +25,7 @@
                 .channelFactory(EndpointSocket::new)
                 .option(ChannelOption.ALLOCATOR, Sockets.BUFFER_ALLOCATOR)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sockets.WRITE_BUFFER_WATER_MARKS)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.newReadBufferAllocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeoutMs));
