--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -13,6 +13,7 @@
 import lemonrail.discovery.EndpointList;
 import lemonrail.discovery.EndpointListListener;
 import lemonrail.logging.EventLog;
+import lemonrail.metrics.Metrics;
 import lemonrail.suspension.SuspendedEndpoints;
 import lemonrail.time.Clock;
 
@@ -32,6 +33,7 @@
     private final Clock clock;
     private final EventLog log;
     private final RequestLog requestLog;
+    private final Metrics metrics;
     private final EventLoopTimers timers;
     private final RequestDeadlines deadlines;
     private final Upstream<M, A> upstream;
@@ -68,6 +70,7 @@
         clock = context.clock();
         log = context.log().forComponent("exchange");
         settings = context.settings();
+        metrics = context.metrics();
         requestLog = new RequestLog(log, clock, this::settings);
         timers = new EventLoopTimers(context.loop());
         deadlines = new RequestDeadlines(clock, timers);
@@ -132,6 +135,8 @@
         if (request.bodyState() == RequestBodyState.COMPLETE) {
             startDecisionTimeout(request);
         } else if (!UploadAdmission.isAdmitted(requests.all(), balancer.concurrencyLimit())) {
+            metrics.onUploadRefused();
+            requestLog.logUploadRefused(request, requests.size(), balancer.concurrencyLimit());
             responses.reject(request, NO_RETRY_AFTER);
             return;
         }
--- a/edge/src/main/java/lemonrail/exchange/RequestLog.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestLog.java
@@ -115,6 +115,20 @@
         }
     }
 
+    /** Logs that a large request is rejected because too many bodies are arriving at the same time. */
+    void logUploadRefused(PendingRequest<?, ?> request, int inFlight, double concurrencyLimit) {
+        log.warnRateLimited(
+                "upload_refused",
+                "a large request is rejected, as too many bodies are arriving",
+                request.id(),
+                "request_id",
+                request.id(),
+                "in_flight",
+                inFlight,
+                "limit",
+                concurrencyLimit);
+    }
+
     void logUnknownAttempt(String requestId) {
         log.warnRateLimited(
                 "unknown_attempt",
--- a/edge/src/main/java/lemonrail/http1/HttpServer.java
+++ b/edge/src/main/java/lemonrail/http1/HttpServer.java
@@ -242,8 +242,11 @@
         updateAccepting();
     }
 
-    /** Logs an error response to a client whose request is invalid or did not arrive in time. */
+    /** Logs and counts an error response to a client whose request is invalid or did not arrive in time. */
     void logRequestError(ClientMessage.RequestError error) {
+        if (error.equals(RequestReader.OUT_OF_MEMORY)) {
+            metrics.onRefusedForMemory();
+        }
         log.warnRateLimited(
                 "client_refused",
                 "a client request is rejected",
--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -49,7 +49,8 @@
     private static final RequestError BODY_TOO_LARGE =
             new RequestError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
     private static final BodyComplete BODY_COMPLETE = new BodyComplete();
-    private static final RequestError OUT_OF_MEMORY =
+    /** The error for a request that holds more memory than is left. */
+    static final RequestError OUT_OF_MEMORY =
             new RequestError(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many large requests");
     /**
      * How much of a large body is read ahead while no attempt sends it, so that a disconnect behind it is noticed
--- a/edge/src/main/java/lemonrail/metrics/Metrics.java
+++ b/edge/src/main/java/lemonrail/metrics/Metrics.java
@@ -29,6 +29,8 @@
 
     private long dispatches;
     private long lateResponses;
+    private long refusedForMemory;
+    private long refusedUploads;
     private long successfulReloads;
     private long failedReloads;
     private int concurrentRequests;
@@ -64,6 +66,16 @@
         lateResponses++;
     }
 
+    /** Counts a request that was rejected because requests and responses hold too much memory. */
+    public void onRefusedForMemory() {
+        refusedForMemory++;
+    }
+
+    /** Counts a request that was rejected because too many bodies are arriving. */
+    public void onUploadRefused() {
+        refusedUploads++;
+    }
+
     /** Counts a successful or failed reload of the configuration. */
     public void onReload(boolean success) {
         if (success) {
@@ -85,6 +97,8 @@
         appendLine(text, "dispatches", dispatches);
         appendLine(text, "answers_late", lateResponses);
         appendLine(text, "concurrent", concurrentRequests);
+        appendLine(text, "memory.refused", refusedForMemory);
+        appendLine(text, "uploads_refused", refusedUploads);
         gauges.forEach((name, value) -> appendLine(text, name, value.getAsInt()));
         appendLine(text, "reload_success", successfulReloads);
         appendLine(text, "reload_failure", failedReloads);
--- a/edge/src/test/java/lemonrail/assembly/AdminServerTest.java
+++ b/edge/src/test/java/lemonrail/assembly/AdminServerTest.java
@@ -154,8 +154,14 @@
                 "log_suppressed",
                 0L));
         expected.put("answers_late", 0L);
+        expected.put("memory.refused", 0L);
+        expected.put("uploads_refused", 0L);
+        expected.put("memory.held_kb", 0L);
         Map<String, Long> metrics = new TreeMap<>(metrics());
-        // The values of the event loop's lag depend on the machine, so only their presence is checked.
+        // These values depend on the machine, so only their presence is checked.
+        for (String name : List.of("memory.budget_kb", "memory.heap_kb", "memory.direct_kb")) {
+            assertTrue(metrics.remove(name) >= 0, name);
+        }
         for (String suffix : List.of("ms", "over_1ms", "over_5ms", "over_20ms", "over_100ms", "over_500ms")) {
             String name = suffix.equals("ms") ? "loop_late_ms" : "loop_late." + suffix;
             assertTrue(metrics.remove(name) >= 0, name);
