A response whose endpoint hangs for 25 s in the middle of it is no longer cut off

Change: 28 s: 25 s, one check a second, and slack. Evidence: SlowClientsTest.streamContinuesAfterAHangOfItsEndpoint failed before (EOF after 18.2 s), passes now (26.2 s).

--- a/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
+++ b/edge/src/main/java/lemonrail/exchange/StreamProgressMonitor.java
@@ -14,8 +14,8 @@
     private static final int UPLOAD_STALL_MS = 4000;
     private static final int RESPONSE_CHECK_INTERVAL_MS = 1000;
     private static final int RESPONSE_STALL_MS = 10_000;
-    /** Longer than the stall of a client, because an endpoint that hangs may go on. */
-    private static final int RESPONSE_PAUSE_MS = 16_000;
+    /** Longer than the stall of a client, because an endpoint may hang for 25 s and then go on. */
+    private static final int RESPONSE_PAUSE_MS = 28_000;
 
     private final Clock clock;
     private final EventLoopTimers timers;
--- a/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/SlowClientsTest.java
@@ -36,6 +36,9 @@
 
     private static final int PAUSE_MS = 12_000;
 
+    /** The longest time for which an endpoint may hang. */
+    private static final int LONGEST_HANG_MS = 25_000;
+
     /** Lets the send buffer of the connection grow before the client begins to read slowly. */
     private static final int FAST_READ_BYTES = 4_000_000;
 
@@ -328,6 +331,22 @@
                 client().send(fixture.request("read", DEADLINE_MS)).read().bytes().length);
     }
 
+    /** Guards against a response that is cut off while its endpoint hangs in the middle of it. */
+    @Test
+    void streamContinuesAfterAHangOfItsEndpoint() throws Exception {
+        fixture = new SidecarFixture(new StubEndpoint((connection, request) -> {
+                    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + "x".repeat(100_000));
+                    TimeUnit.MILLISECONDS.sleep(LONGEST_HANG_MS);
+                    connection.send("x".repeat(100_000));
+                }))
+                .start();
+        HttpTestConnection client = client();
+        client.socket.setSoTimeout(2 * LONGEST_HANG_MS);
+        assertEquals(
+                200_000,
+                client.send(fixture.request("read", DEADLINE_MS)).read().bytes().length);
+    }
+
     /**
      * Guards against a truncated last response on a connection if it is read late and more input follows its request.
      */
