The trickling head of a test is one long field, not a hundred short ones

Cause: ClientLimitsTest.tricklingRequestTimesOut sent a field of its own every 20 ms, and met the new limit of 100 fields (431) after 2 s, before the time-out of 2.5 s that it is about. Change: it sends one byte of one field every 20 ms. The check is as strict: each byte must not restart the time-out, 408, within the same bound.

--- a/edge/src/test/java/lemonrail/assembly/ClientLimitsTest.java
+++ b/edge/src/test/java/lemonrail/assembly/ClientLimitsTest.java
@@ -94,11 +94,11 @@
             assertEquals(
                     200,
                     client.send(fixture.request("read", DEADLINE_MS)).read().status());
-            client.send("POST /api HTTP/1.1\r\n");
+            client.send("POST /api HTTP/1.1\r\nX: ");
             Thread trickle = new Thread(() -> {
                 try {
                     while (true) {
-                        client.send("X: y\r\n");
+                        client.send("y");
                         Thread.sleep(20);
                     }
                 } catch (IOException | InterruptedException e) {
