--- a/edge/src/test/java/lemonrail/assembly/HttpTestConnection.java
+++ b/edge/src/test/java/lemonrail/assembly/HttpTestConnection.java
@@ -53,7 +53,11 @@
 
     /** Reads a complete message. */
     Message read() throws IOException {
-        Message head = readHead();
+        return readBody(readHead());
+    }
+
+    /** Reads the body that follows a head; returns the complete message. */
+    Message readBody(Message head) throws IOException {
         Map<String, String> headers = head.headers();
         return new Message(
                 head.startLine(),
