The copy of a request in the write buffer to its endpoint counts in the memory budget

Cause: a request that an endpoint doesn't read stands twice in the process, once to be sent again and once, as direct buffers, to be written; only the first counted. Found by going through what one attempt can hold, not by a failure. Change: UpstreamConnection counts the copy until it is written.

--- a/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
+++ b/edge/src/main/java/lemonrail/http1/UpstreamConnection.java
@@ -104,16 +104,27 @@
         state = State.IN_USE;
         RequestMessage request = currentAttempt.request();
         if (request.remainingBody() == null) {
-            notifyWhenWritten(
-                    currentAttempt, channel.writeAndFlush(request.toFullRequest(currentAttempt.remainingMs())));
+            ChannelFuture written = channel.writeAndFlush(request.toFullRequest(currentAttempt.remainingMs()));
+            holdUntilWritten(request, written);
+            notifyWhenWritten(currentAttempt, written);
         } else {
             sendStreamed(currentAttempt, request);
         }
     }
 
+    /** Counts the copy of a request in the write buffer of this connection. */
+    private void holdUntilWritten(RequestMessage request, ChannelFuture written) {
+        if (!written.isDone()) {
+            int bytes = request.bufferedBytes();
+            context.bufferBudget().acquire(bytes);
+            written.addListener(done -> context.bufferBudget().release(bytes));
+        }
+    }
+
     private void sendStreamed(UpstreamAttempt currentAttempt, RequestMessage request) {
         channel.write(request.toHead(currentAttempt.remainingMs()));
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(request.body())));
+        holdUntilWritten(
+                request, channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(request.body()))));
         // An overloaded endpoint may reject a large request before the complete body has been sent.
         reader.expectResponse();
         requestWriter = new PipeWriter(channel, request.remainingBody(), new PipeWriter.Listener() {
