--- a/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
+++ b/edge/src/main/java/lemonrail/exchange/RequestDispatcher.java
@@ -43,10 +43,10 @@
     private final LoadBalancer balancer;
     private final BalancerEventQueue<M, A> events;
     private final RequestTable<M, A> requests;
+    private final DuplicateRequests duplicates;
     private final ResponseDelivery<M, A> responses;
     private final AttemptRunner<M, A> attempts;
 
-    private ExecutedRequestIds executedIds = ExecutedRequestIds.unshared();
     private BalancerSettings settings;
     private boolean hasEndpoints;
 
@@ -77,11 +77,12 @@
         timers = new EventLoopTimers(context.loop());
         deadlines = new RequestDeadlines(clock, timers);
         requests = new RequestTable<>(context.bufferBudget());
+        duplicates = new DuplicateRequests(requests, this::settings);
         responses = new ResponseDelivery<>(clock, requestLog, context.metrics());
         balancer = balancerFactory.create(settings, seed, this);
         events = new BalancerEventQueue<>(balancer, clock, log, this::removeIfFinished);
         attempts = new AttemptRunner<>(
-                context, upstream, this::settings, events, responses, deadlines, this::rememberExecuted, requestLog);
+                context, upstream, this::settings, events, responses, deadlines, duplicates::onExecutable, requestLog);
         updateEndpoints(EndpointUpdateKind.CACHED, cachedEndpoints);
         startPolling.run();
     }
@@ -105,7 +106,7 @@
 
     /** Shares the ids of executed requests with the other process of this sidecar. */
     public void shareExecutedIds(ExecutedRequestIds shared) {
-        executedIds = shared;
+        duplicates.shareExecutedIds(shared);
     }
 
     /**
@@ -113,17 +114,7 @@
      * been executed that must not be executed again.
      */
     public boolean isDuplicate(String id, int requestClass) {
-        return requests.contains(id) || (!mayExecuteAgain(requestClass) && executedIds.contains(id));
-    }
-
-    private boolean mayExecuteAgain(int requestClass) {
-        return settings.classes().get(requestClass).mayRejectAfterExecution();
-    }
-
-    private void rememberExecuted(PendingRequest<M, A> request) {
-        if (!mayExecuteAgain(request.requestClass())) {
-            executedIds.add(request.id());
-        }
+        return duplicates.contains(id, requestClass);
     }
 
     /** Returns how many endpoints the balancer has ejected, so that they get no or fewer requests. */
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -1,17 +1,13 @@
 package lemonrail.http1;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import lemonrail.core.balancer.Request;
 import lemonrail.http1.ClientMessage.BodyComplete;
 import lemonrail.http1.ClientMessage.IncomingRequest;
@@ -33,6 +29,7 @@
     private final RequestMemory requestMemory;
     private final RequestReader requestReader;
     private final ResponseQueue responses;
+    private final ContinueResponse continueResponse;
     private final ClientUpload upload;
     private final DisconnectCheck disconnectCheck;
     /**
@@ -47,8 +44,6 @@
     /** Null until the channel is active. */
     private ArrivalClock arrivalClock;
 
-    private boolean continuePending;
-
     ClientConnection(HttpServer server, AcceptedSocket channel) {
         this.server = server;
         this.channel = channel;
@@ -56,6 +51,7 @@
         requestMemory = new RequestMemory(server.budget());
         requestReader = new RequestReader(requestMemory, server.budget(), server.clock(), this::onUploadReadingChanged);
         responses = new ResponseQueue(channel, server.budget(), this);
+        continueResponse = new ContinueResponse(channel, responses);
         upload = new ClientUpload(server.dispatcher());
         disconnectCheck = new DisconnectCheck(channel, server.clock());
         lastResponseMs = server.clock().now();
@@ -144,20 +140,7 @@
             timeouts.onHeadRead();
         }
         if (event == RequestReader.HeadEvent.CONTINUE_EXPECTED) {
-            continuePending = true;
-            sendContinueIfReady();
-        }
-    }
-
-    /**
-     * Sends the 100 Continue that a client waits for before it sends the body. This is delayed until all earlier
-     * responses have been written, because responses must be in order.
-     */
-    private void sendContinueIfReady() {
-        if (continuePending && responses.isEmpty()) {
-            continuePending = false;
-            channel.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            continueResponse.onExpected();
         }
     }
 
@@ -217,7 +200,7 @@
         double arrivedAtMs = Math.min(arrivalClock.arrivedAtMs(), timeouts.inputArrivedAtMs());
         PendingResponse response = new PendingResponse(this, server.metrics(), arrivedAtMs);
         responses.add(response);
-        continuePending = false;
+        continueResponse.cancel();
         server.connections().onRequest(this);
         return response;
     }
@@ -346,7 +329,7 @@
         } else if (server.connections().onResponded(this)) {
             lastResponseMs = server.clock().now();
             timeouts.onResponsesWritten();
-            sendContinueIfReady();
+            continueResponse.sendIfReady();
         }
     }
 
