Heads behind the last request of a connection no longer stay in the memory budget

Callers would have seen: one client that sends 'Connection: close' to a slow endpoint and more heads behind it counts megabytes as held, and larger requests of all others are refused until it leaves. Cause: the reader stops after such a request, but the decoder goes on, and counts the fields of heads that the reader drops. Change: what was decoded is released when the stopped reader drops it. Evidence: MemoryBudgetTest.headsBehindTheLastRequestAreNotHeld: 6,768 KB held before, under 64 after. Its other 13 cases send 13 shapes of whole, half and spoilt exchanges 40 times each and ask for a budget of 0 afterwards; all held before and hold.

--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -101,6 +101,10 @@
             }
         } finally {
             ReferenceCountUtil.release(message);
+            if (stopped) {
+                // The decoder goes on, but what it has decoded is discarded.
+                memory.releaseAll();
+            }
         }
     }
 
