Heads at the operators' door, at control nodes and from discovery are bounded as well

Same class as the heads of clients: HttpListener and HttpGetClient decoded heads with a limit on bytes alone, up to 4,000 fields, about 400 KB each, outside any budget (16 connections at the door of a sidecar). Change: BoundedHttpHeaders is in net now, and all decoders use it. The control node's event loop had the fault of the sidecar's: an Error ended it, and nothing watched its thread. It uses the same thread factory and I/O handler. Evidence: AdminServerTest.headsOfManyFieldsAreRejected (1,000 fields) got 200 before and gets 4xx now.

--- a/edge/src/main/java/lemonrail/assembly/SidecarEventLoop.java
+++ b/edge/src/main/java/lemonrail/assembly/SidecarEventLoop.java
@@ -12,7 +12,7 @@
 final class SidecarEventLoop {
 
     private final EventLoopLag lag = new EventLoopLag();
-    private final EventLoopThreadFactory threads = new EventLoopThreadFactory();
+    private final EventLoopThreadFactory threads = new EventLoopThreadFactory("sidecar");
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
             1, threads, new MonitoringIoHandler(NioIoHandler.newFactory(), lag, this::onOutOfMemory));
     /** Called on the event loop. */
--- a/edge/src/main/java/lemonrail/control/ControlNode.java
+++ b/edge/src/main/java/lemonrail/control/ControlNode.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -19,10 +18,13 @@
 import lemonrail.core.replication.ReplicatedStore;
 import lemonrail.core.replication.ReplicatedStore.Bounds;
 import lemonrail.core.replication.VersionedEntry;
+import lemonrail.lifecycle.EventLoopThreadFactory;
 import lemonrail.logging.EventLog;
 import lemonrail.logging.LogSink;
 import lemonrail.net.Sockets;
 import lemonrail.time.Clock;
+import lemonrail.time.EventLoopLag;
+import lemonrail.time.MonitoringIoHandler;
 
 /**
  * One control node: its replicated store, the watch server and the replication from its peers, all on one event
@@ -37,6 +39,7 @@
     private static final int WAIT_FOR_PEER_MS = 2_000;
 
     private final ControlConfig config;
+    private final EventLoopThreadFactory threads = new EventLoopThreadFactory("control");
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final EventLoopInvoker loopInvoker;
@@ -53,10 +56,16 @@
 
     private ControlNode(ControlConfig config, LogSink sink) {
         this.config = config;
-        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("control"), NioIoHandler.newFactory());
+        log = new EventLog(clock, sink).forComponent("control");
+        group = new MultiThreadIoEventLoopGroup(
+                1,
+                threads,
+                new MonitoringIoHandler(
+                        NioIoHandler.newFactory(),
+                        new EventLoopLag(),
+                        () -> log.error("the heap has ended", new OutOfMemoryError())));
         loop = (EventLoop) group.next();
         loopInvoker = new EventLoopInvoker(loop);
-        log = new EventLog(clock, sink).forComponent("control");
         long startedAtMs = nowMs();
         store = new ReplicatedStore(config.name(), Bounds.DEFAULT, startedAtMs);
         String bootId = config.name() + "-" + Long.toString(startedAtMs, Character.MAX_RADIX);
@@ -297,6 +306,7 @@
             watchServer.close();
             runMaintenance();
         });
+        threads.expectEnd();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/edge/src/main/java/lemonrail/discovery/HttpGetClient.java
+++ b/edge/src/main/java/lemonrail/discovery/HttpGetClient.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import lemonrail.net.BoundedHttpHeaders;
 import lemonrail.net.Sockets;
 
 /**
@@ -76,7 +77,10 @@
                                 .pipeline()
                                 .addLast(
                                         new ProgressHandler(),
-                                        new HttpClientCodec(),
+                                        new HttpClientCodec(
+                                                BoundedHttpHeaders.decoderConfig(),
+                                                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
+                                                HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
                                         new HttpObjectAggregator(maxResponseBytes),
                                         new ResponseHandler());
                     }
--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -12,6 +12,7 @@
 import lemonrail.http1.ClientMessage.BodyComplete;
 import lemonrail.http1.ClientMessage.IncomingRequest;
 import lemonrail.http1.ClientMessage.RequestError;
+import lemonrail.net.BoundedHttpHeaders;
 import lemonrail.upgrade.AcceptedSocket;
 
 /**
--- a/edge/src/main/java/lemonrail/http1/EndpointResponseDecoder.java
+++ b/edge/src/main/java/lemonrail/http1/EndpointResponseDecoder.java
@@ -1,8 +1,8 @@
 package lemonrail.http1;
 
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import lemonrail.net.BoundedHttpHeaders;
 
 /**
  * A response decoder that rejects malformed header lines as strictly as in requests, and reports whether it has
@@ -13,9 +13,7 @@
     private boolean inHead;
 
     EndpointResponseDecoder() {
-        super(new HttpDecoderConfig()
-                .setHeadersFactory(BoundedHttpHeaders.factory(bytes -> true))
-                .setTrailersFactory(BoundedHttpHeaders.factory(bytes -> true)));
+        super(BoundedHttpHeaders.decoderConfig());
     }
 
     /** Returns whether the decoder has bytes that it has not decoded. */
--- a/edge/src/main/java/lemonrail/http1/RequestMessage.java
+++ b/edge/src/main/java/lemonrail/http1/RequestMessage.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import lemonrail.exchange.ProtocolRequest;
+import lemonrail.net.BoundedHttpHeaders;
 import lemonrail.streaming.BodyPipe;
 
 /**
--- a/edge/src/main/java/lemonrail/http1/RequestReader.java
+++ b/edge/src/main/java/lemonrail/http1/RequestReader.java
@@ -21,6 +21,7 @@
 import lemonrail.http1.ClientMessage.BodyComplete;
 import lemonrail.http1.ClientMessage.IncomingRequest;
 import lemonrail.http1.ClientMessage.RequestError;
+import lemonrail.net.MemoryExhaustedException;
 import lemonrail.streaming.BodyPipe;
 import lemonrail.streaming.BufferBudget;
 import lemonrail.time.Clock;
--- a/edge/src/main/java/lemonrail/lifecycle/EventLoopThreadFactory.java
+++ b/edge/src/main/java/lemonrail/lifecycle/EventLoopThreadFactory.java
@@ -21,9 +21,18 @@
     private static final byte[] MESSAGE =
             "lemonrail: the event loop has ended unexpectedly; the process ends\n".getBytes(StandardCharsets.US_ASCII);
 
-    private final ThreadFactory delegate = new DefaultThreadFactory("sidecar");
+    private final ThreadFactory delegate;
     private volatile boolean endExpected;
 
+    /**
+     * Creates a factory.
+     *
+     * @param name the beginning of the thread's name
+     */
+    public EventLoopThreadFactory(String name) {
+        delegate = new DefaultThreadFactory(name);
+    }
+
     /** Notes that the event loop is about to be stopped. */
     public void expectEnd() {
         endExpected = true;
--- a/edge/src/main/java/lemonrail/http1/BoundedHttpHeaders.java
+++ b/edge/src/main/java/lemonrail/net/BoundedHttpHeaders.java
@@ -1,6 +1,7 @@
-package lemonrail.http1;
+package lemonrail.net;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
@@ -11,10 +12,10 @@
  * The fields of a head or of trailers while they are decoded, bounded in number: a field of four bytes becomes an entry,
  * a name and a value, so a bound on bytes alone does not bound the memory.
  */
-final class BoundedHttpHeaders extends DefaultHttpHeaders {
+public final class BoundedHttpHeaders extends DefaultHttpHeaders {
 
     /** The maximum number of fields of a head, and of trailers. */
-    static final int MAX_FIELDS = 100;
+    public static final int MAX_FIELDS = 100;
     /** The objects of a field: its entry, and the headers of its name, its value and their arrays. */
     private static final long FIELD_BYTES = 152;
     /** The objects of a head without fields. */
@@ -27,12 +28,18 @@
         this.memory = memory;
     }
 
+    /** Returns the configuration of a decoder whose heads and trailers are bounded in number of fields alone. */
+    public static HttpDecoderConfig decoderConfig() {
+        HttpHeadersFactory headers = factory(bytes -> true);
+        return new HttpDecoderConfig().setHeadersFactory(headers).setTrailersFactory(headers);
+    }
+
     /**
      * Returns a factory for the decoder of a connection.
      *
      * @param memory is called with the bytes of each field that is added; returns false if there is no memory left
      */
-    static HttpHeadersFactory factory(LongPredicate memory) {
+    public static HttpHeadersFactory factory(LongPredicate memory) {
         return new HttpHeadersFactory() {
             @Override
             public HttpHeaders newHeaders() {
@@ -69,7 +76,7 @@
     }
 
     /** Returns about how many bytes of memory a head with these fields holds. */
-    static long memoryBytes(CharSequence uri, HttpHeaders headers) {
+    public static long memoryBytes(CharSequence uri, HttpHeaders headers) {
         long bytes = HEAD_BYTES + uri.length();
         var entries = headers.iteratorCharSequence();
         while (entries.hasNext()) {
--- a/edge/src/main/java/lemonrail/net/HttpListener.java
+++ b/edge/src/main/java/lemonrail/net/HttpListener.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -49,11 +50,18 @@
                     protected void initChannel(SocketChannel accepted) {
                         accepted.pipeline()
                                 .addLast(
-                                        new HttpServerCodec(maxLineBytes, maxHeadBytes, maxChunkBytes),
+                                        new HttpServerCodec(decoderConfig()),
                                         new HttpObjectAggregator(maxBodyBytes),
                                         handlerFactory.apply(accepted));
                     }
                 })
                 .bind(address);
     }
+
+    private HttpDecoderConfig decoderConfig() {
+        return BoundedHttpHeaders.decoderConfig()
+                .setMaxInitialLineLength(maxLineBytes)
+                .setMaxHeaderSize(maxHeadBytes)
+                .setMaxChunkSize(maxChunkBytes);
+    }
 }
--- a/edge/src/main/java/lemonrail/http1/MemoryExhaustedException.java
+++ b/edge/src/main/java/lemonrail/net/MemoryExhaustedException.java
@@ -1,7 +1,7 @@
-package lemonrail.http1;
+package lemonrail.net;
 
 /** Thrown while a head is decoded if there is no memory left for it. */
-final class MemoryExhaustedException extends RuntimeException {
+public final class MemoryExhaustedException extends RuntimeException {
 
     private static final long serialVersionUID = 1;
 
--- a/edge/src/test/java/lemonrail/assembly/AdminServerTest.java
+++ b/edge/src/test/java/lemonrail/assembly/AdminServerTest.java
@@ -20,6 +20,7 @@
 @Timeout(60)
 class AdminServerTest {
 
+    private static final int MANY_FIELDS = 1000;
     private static final int DEADLINE_MS = 8000;
 
     private SidecarFixture fixture;
@@ -169,6 +170,18 @@
         assertEquals(expected, metrics);
     }
 
+    /** Guards against heads of very many short fields, which become many times as large as objects. */
+    @Test
+    void headsOfManyFieldsAreRejected() throws Exception {
+        start(StubEndpoint.respondingWith(200, "", "served"));
+        try (HttpTestConnection connection = fixture.adminConnection()) {
+            connection.send("GET /v1/metrics HTTP/1.1\r\nHost: n0\r\n" + "a:\r\n".repeat(MANY_FIELDS) + "\r\n");
+            int status = connection.read().status();
+            assertTrue(status >= 400 && status < 500, "status " + status);
+        }
+        assertEquals(200, fixture.callAdmin("GET", "/v1/metrics").status());
+    }
+
     @Test
     void countsResponsesAndAttemptsWhenTheyEnd() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
