Line lengths, and the assembly of a sidecar in shorter methods

Change: the lines are wrapped, SidecarBuilder.assemble leaves log, budget and door to methods of their own.

--- a/edge/src/main/java/lemonrail/assembly/MemoryPlan.java
+++ b/edge/src/main/java/lemonrail/assembly/MemoryPlan.java
@@ -6,8 +6,8 @@
 
 /**
  * Divides the memory of the process between what requests and responses hold and what each open connection may hold in
- * any case. Both follow from the heap, the direct memory and the memory limit of the settings, so that the sum fits into
- * the heap in every state of the connections.
+ * any case. Both follow from the heap, the direct memory and the memory limit of the settings, so that the sum fits
+ * into the heap in every state of the connections.
  */
 final class MemoryPlan {
 
--- a/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
+++ b/edge/src/main/java/lemonrail/assembly/SidecarBuilder.java
@@ -77,13 +77,11 @@
     private <M extends ProtocolRequest, A> Sidecar assemble(Protocol<M, A> protocol, SidecarEventLoop eventLoop) {
         EventLoop loop = eventLoop.loop();
         Clock clock = new Clock(eventLoop.lag());
-        EventLog log = new EventLog(clock, sink);
-        eventLoop.setOutOfMemoryListener(() -> log.error("the heap has ended", new OutOfMemoryError()));
+        EventLog log = createLog(eventLoop, clock);
         SuspendedEndpoints suspensions = new SuspendedEndpoints(config.stateFile("suspended"), log);
         SiblingProcessLock siblingLock = new SiblingProcessLock(config.stateFile("processes"), log);
         MemoryPlan memory = MemoryPlan.of(config);
-        BufferBudget budget = new BufferBudget(memory.budgetBytes());
-        budget.setShared(siblingLock.hasSibling());
+        BufferBudget budget = createBufferBudget(memory, siblingLock);
         DescriptorBudget descriptors = DescriptorBudget.of(
                 config, protocol.overflowConnections(), memory.maxClientConnections(), siblingLock.hasSibling());
         AtomicReference<RequestDispatcher<M, A>> builtDispatcher = new AtomicReference<>();
@@ -117,11 +115,8 @@
                         dispatcher, listeners, discovery, discovery == null && control == null, sink));
         GracefulShutdown shutdown =
                 new GracefulShutdown(loop, clock, log, context.lifecycle(), listeners, dispatcher, siblingLock);
-        AdminServer adminServer = new AdminServer(
-                loop,
-                Sockets.BUFFER_ALLOCATOR,
-                new SidecarAdminOperations(context, sink, suspensions, dispatcher, listeners),
-                log.forComponent("admin")::error);
+        AdminServer adminServer = createAdminServer(
+                context, new SidecarAdminOperations(context, sink, suspensions, dispatcher, listeners));
         registerGauges(context, suspensions, dispatcher);
         new SiblingMonitor(log, siblingLock, suspensions, descriptors, budget, dispatcher, upstream, listeners)
                 .start(loop);
@@ -146,6 +141,26 @@
         return dispatcher != null && dispatcher.hasEndpoints();
     }
 
+    private EventLog createLog(SidecarEventLoop eventLoop, Clock clock) {
+        EventLog log = new EventLog(clock, sink);
+        eventLoop.setOutOfMemoryListener(() -> log.error("the heap has ended", new OutOfMemoryError()));
+        return log;
+    }
+
+    private static BufferBudget createBufferBudget(MemoryPlan memory, SiblingProcessLock siblingLock) {
+        BufferBudget budget = new BufferBudget(memory.budgetBytes());
+        budget.setShared(siblingLock.hasSibling());
+        return budget;
+    }
+
+    private static AdminServer createAdminServer(EventLoopContext context, SidecarAdminOperations operations) {
+        return new AdminServer(
+                context.loop(),
+                Sockets.BUFFER_ALLOCATOR,
+                operations,
+                context.log().forComponent("admin")::error);
+    }
+
     private EventLoopContext createContext(
             EventLoop loop, Clock clock, EventLog log, BufferBudget budget, Lifecycle lifecycle) {
         return new EventLoopContext(
--- a/edge/src/main/java/lemonrail/http1/ResponseReader.java
+++ b/edge/src/main/java/lemonrail/http1/ResponseReader.java
@@ -22,8 +22,8 @@
  * Reads the responses on a connection to an endpoint, one at a time. A small response is buffered, and reported after
  * everything that arrived with it has been read, so that surplus bytes are never taken for the next response. A
  * successful response that is large, or slow and chunked, is streamed; of another such response only the head is
- * reported. A response with neither a length nor chunks is complete when the endpoint has closed the connection; after a
- * reset it is not. Confined to the connection's event loop.
+ * reported. A response with neither a length nor chunks is complete when the endpoint has closed the connection; after
+ * a reset it is not. Confined to the connection's event loop.
  */
 final class ResponseReader extends ChannelInboundHandlerAdapter {
 
--- a/edge/src/main/java/lemonrail/net/BoundedHttpHeaders.java
+++ b/edge/src/main/java/lemonrail/net/BoundedHttpHeaders.java
@@ -9,8 +9,8 @@
 import java.util.function.LongPredicate;
 
 /**
- * The fields of a head or of trailers while they are decoded, bounded in number: a field of four bytes becomes an entry,
- * a name and a value, so a bound on bytes alone does not bound the memory.
+ * The fields of a head or of trailers while they are decoded, bounded in number: a field of four bytes becomes an
+ * entry, a name and a value, so a bound on bytes alone does not bound the memory.
  */
 public final class BoundedHttpHeaders extends DefaultHttpHeaders {
 
--- a/edge/src/main/java/lemonrail/upgrade/ExecutedRequestIds.java
+++ b/edge/src/main/java/lemonrail/upgrade/ExecutedRequestIds.java
@@ -102,7 +102,7 @@
         return false;
     }
 
-    /** Returns the age of an entry; that of an unused one, or one of an earlier start of the machine, is the maximum. */
+    /** Returns the age of an entry, the maximum for an unused one and for one of an earlier start of the machine. */
     private long ageNanos(int entry, long nowNanos) {
         boolean unused = entries.get(entry) == 0;
         long ageNanos = nowNanos - entries.get(entry + 1);
--- a/edge/src/test/java/lemonrail/assembly/EventLoopEndTest.java
+++ b/edge/src/test/java/lemonrail/assembly/EventLoopEndTest.java
@@ -29,7 +29,7 @@
     @TempDir
     Path folder;
 
-    /** A process whose only event loop ends with an error. A thread that never ends stands for the rest of a process. */
+    /** A process whose only event loop ends with an error. Another thread never ends, as in a process with more. */
     static final class EndingProcess {
         private EndingProcess() {}
 
--- a/edge/src/test/java/lemonrail/assembly/SoakRun.java
+++ b/edge/src/test/java/lemonrail/assembly/SoakRun.java
@@ -16,8 +16,8 @@
 
 /**
  * One seeded run of the soak: a real sidecar process before endpoints with faults, clients that use their connections
- * until the process is killed, signals in series, and in some runs a crowd or an upgrade. The process is killed as early
- * as the platform may do so.
+ * until the process is killed, signals in series, and in some runs a crowd or an upgrade. The process is killed as
+ * early as the platform may do so.
  */
 final class SoakRun implements Closeable {
 
