Requests that wait for the check of their client count in the memory budget

Cause: DisconnectCheck delays requests by 1 to 20 ms after a stall. Their heads were released from the budget when they had been read, and counted again only when dispatched, so all of them waited uncounted and the limit of one request in flight while memory is short never acted. Change: a request that waits for the check counts with its head and body until it is routed.

--- a/edge/src/main/java/lemonrail/http1/ClientConnection.java
+++ b/edge/src/main/java/lemonrail/http1/ClientConnection.java
@@ -169,11 +169,23 @@
         if (responses.size() > maxPipelinedRequests()) {
             response.respondAndStopReading(RequestReader.TOO_MANY_REQUESTS);
             discardUnownedBody(request, response);
+        } else if (disconnectCheck.isNeeded()) {
+            routeAfterCheck(request, response);
         } else {
-            disconnectCheck.runWhenConnected(() -> route(request, response));
+            route(request, response);
         }
     }
 
+    /** Routes a request after the check. Until then it counts as held, like a request that has been dispatched. */
+    private void routeAfterCheck(IncomingRequest request, PendingResponse response) {
+        long bytes = request.memoryBytes();
+        server.budget().acquire(bytes);
+        disconnectCheck.runAfterCheck(() -> {
+            server.budget().release(bytes);
+            route(request, response);
+        });
+    }
+
     /** Routes a request, unless its client has disconnected in the meantime or it has got an error response. */
     private void route(IncomingRequest request, PendingResponse response) {
         if (responses.isAwaited(response)) {
--- a/edge/src/main/java/lemonrail/http1/ClientMessage.java
+++ b/edge/src/main/java/lemonrail/http1/ClientMessage.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import lemonrail.net.BoundedHttpHeaders;
 import lemonrail.streaming.BodyPipe;
 
 /** A message that {@link RequestReader} passes on to {@link ClientConnection}. */
@@ -15,6 +16,11 @@
      */
     record IncomingRequest(HttpRequest head, byte[] body, BodyPipe remainingBody) implements ClientMessage {
 
+        /** Returns about how many bytes of memory the request holds, without the rest of its body. */
+        long memoryBytes() {
+            return BoundedHttpHeaders.memoryBytes(head.uri(), head.headers()) + body.length;
+        }
+
         /** Returns whether the rest of the body follows through the pipe. */
         boolean isStreamed() {
             return remainingBody != null;
--- a/edge/src/main/java/lemonrail/http1/DisconnectCheck.java
+++ b/edge/src/main/java/lemonrail/http1/DisconnectCheck.java
@@ -25,13 +25,14 @@
         this.clock = clock;
     }
 
-    /** Runs the action at once, or after the check if the input that is being read may have waited for long. */
-    void runWhenConnected(Runnable action) {
-        if (clock.maxQueueDelayMs() < MAX_WAIT_MS) {
-            action.run();
-        } else {
-            scheduleCheck(action, MAX_CHECKS);
-        }
+    /** Returns whether the input that is being read may have waited for long. */
+    boolean isNeeded() {
+        return clock.maxQueueDelayMs() >= MAX_WAIT_MS;
+    }
+
+    /** Runs the action after the check, also if the connection has been closed meanwhile. */
+    void runAfterCheck(Runnable action) {
+        scheduleCheck(action, MAX_CHECKS);
     }
 
     private void scheduleCheck(Runnable action, int remainingChecks) {
--- a/edge/src/test/java/lemonrail/assembly/MemoryLimitTest.java
+++ b/edge/src/test/java/lemonrail/assembly/MemoryLimitTest.java
@@ -32,6 +32,7 @@
     /** The time that the crowd stays connected, during which another client sends requests. */
     private static final int CROWD_MS = 4000;
 
+    private static final int PIPELINED_REQUESTS = 8;
     private static final int UPLOAD_BYTES = 2_000_000;
 
     @TempDir
@@ -129,6 +130,41 @@
         assertServesWithin(memoryMb);
     }
 
+    /** Guards against pipelined requests that wait uncounted after the process was held up. */
+    @ParameterizedTest
+    @CsvSource({"192", "96"})
+    void pipelinesAfterAStallStayWithinTheMemoryLimit(int memoryMb) throws Exception {
+        start(memoryMb);
+        connectCrowd(i -> "");
+        signal("STOP");
+        for (HttpTestConnection client : crowd) {
+            sendIfOpen(client, pipeline());
+        }
+        signal("CONT");
+        SidecarFixture.await("it serves again", () -> sendRequest().equals("200"));
+        assertTrue(sidecar.process.isAlive(), "the process runs: " + sidecar.log);
+        assertFalse(sidecar.hasLogged("OutOfMemory"), "" + sidecar.log);
+        int peakMb = DeployedSidecar.memoryMb(sidecar, "VmHWM");
+        assertTrue(peakMb < memoryMb, peakMb + " MB of " + memoryMb);
+    }
+
+    private String pipeline() {
+        StringBuilder input = new StringBuilder();
+        for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+            String request = fixture.request("read", DEADLINE_MS);
+            input.append(request, 0, request.length() - 2)
+                    .append("a:b\r\n".repeat(90))
+                    .append("\r\n");
+        }
+        return input.toString();
+    }
+
+    private void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, String.valueOf(sidecar.process.pid()))
+                .start()
+                .waitFor();
+    }
+
     /** Guards against large requests that stop half way and use up the memory or the endpoints' slots. */
     @Tag("known-red")
     @ParameterizedTest
