The event loop outlives an OutOfMemoryError whose report finds no memory either

Callers would have seen a process that ends with status 70 although only one event could not be handled. Cause: MonitoringIoHandler caught the error of the I/O, but its report (a log line) ran outside of the catch, and threw again in a full heap. Change: an OutOfMemoryError of the report is dropped. Evidence: MonitoringIoHandlerTest's report throws now, too: RejectedExecutionException (loop terminated) before, passes now; EventLoopEndTest 2 of 2.

--- a/edge/src/main/java/lemonrail/time/MonitoringIoHandler.java
+++ b/edge/src/main/java/lemonrail/time/MonitoringIoHandler.java
@@ -53,11 +53,20 @@
             try {
                 return delegate.run(context);
             } catch (OutOfMemoryError e) {
-                onOutOfMemory.run();
+                reportOutOfMemory();
                 return 0;
             }
         }
 
+        private void reportOutOfMemory() {
+            try {
+                onOutOfMemory.run();
+            } catch (OutOfMemoryError e) {
+                // There is no memory for the report either; the event loop goes on all the same.
+                return;
+            }
+        }
+
         @Override
         public void initialize() {
             delegate.initialize();
--- a/edge/src/test/java/lemonrail/time/MonitoringIoHandlerTest.java
+++ b/edge/src/test/java/lemonrail/time/MonitoringIoHandlerTest.java
@@ -57,6 +57,12 @@
         }
     }
 
+    /** Reports an error, for which there is no memory either. */
+    private void report() {
+        reported.incrementAndGet();
+        throw new OutOfMemoryError("Java heap space");
+    }
+
     private IoHandler newThrowingHandler(ThreadAwareExecutor executor) {
         return new ThrowingHandler(NioIoHandler.newFactory().newHandler(executor));
     }
@@ -67,7 +73,7 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
                 1,
                 new DefaultThreadFactory("test"),
-                new MonitoringIoHandler(this::newThrowingHandler, new EventLoopLag(), reported::incrementAndGet));
+                new MonitoringIoHandler(this::newThrowingHandler, new EventLoopLag(), this::report));
         try {
             while (thrown.get() < ERRORS) {
                 group.submit(() -> {}).sync();
